--- /dev/null
+++ b/foxlift/logic.py
@@ -0,0 +1,442 @@
+"""Every decision of a director. Settings, events and actions are defined in foxlift/interface.py.
+
+The mechanism is transaction-least-work-left (docs/design.md): a new session goes to its title's holder with
+the least weighted work in this director's own counters, at the highest rung that keeps the link's estimated
+use under a mark below full.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+
+from foxlift.interface import (
+    Action,
+    Ask,
+    Ended,
+    Event,
+    Fail,
+    ListKind,
+    Load,
+    NodeInfo,
+    NodeList,
+    Note,
+    NoteKind,
+    Outcome,
+    Probed,
+    Refuse,
+    Repeat,
+    Resumed,
+    SessionClass,
+    SetRung,
+    SetTimer,
+    Settings,
+    SetUp,
+    Started,
+    Status,
+    Wake,
+    Withdrawn,
+)
+
+# ---- Constants --------------------------------------------------------------------------------------------
+MARK = 0.9  # share of a link; the rest is left for true rates above the ladder and other directors' set-ups
+BEAT_MS = 50.0  # ms; how often held requests are looked at again
+HOLD_MS = 400.0  # ms; longest hold of a request that fits nowhere: a set-up must still make the wanted time
+TRY_PART = 0.6  # share of the wanted time that a repeatable set-up may take before the next holder is tried
+COLD_PART = 0.7  # share of a cold node's budget that is used; the rest is for unequal set-up costs
+SUSPEND_MS = 1000.0  # ms; first suspension of a node that failed; doubles with each further failure
+SUSPEND_MAX_MS = 8000.0  # ms; longest suspension: a node is back in service seconds after it returns
+STRIKES = 2  # failures in a row, each of which may be the session's own fault, that suspend a node
+
+
+class _State(Enum):
+    HELD = 0
+    SETTING_UP = 1
+    PLAYING = 2
+
+
+@dataclass(slots=True)
+class _Session:
+    ask: Ask
+    asked_at: float
+    deadline: float
+    state: _State = _State.HELD
+    answered: bool = False
+    may_have_run: bool = False
+    attempts: int = 0
+    node: _Node | None = None
+    rung: int = 0
+    kb: float = 0.0
+    tried: list[int] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class _Node:
+    info: NodeInfo
+    link_kb: float
+    sessions: dict[int, _Session] = field(default_factory=dict)
+    setting_up: int = 0
+    own_kb: float = 0.0
+    use: float | None = None  # last heard: asked of the link over what it gives
+    own_kb_then: float = 0.0  # this director's own part when that was heard
+    short: bool = False
+    cold_since: float = -1e18
+    strikes: int = 0
+    suspensions: int = 0
+    suspended_until: float = 0.0
+    cold_sends: deque[float] = field(default_factory=deque)
+
+
+def _mix(*numbers: int) -> int:
+    """A stable 64-bit hash of whole numbers (splitmix64 steps)."""
+    h = 0
+    for number in numbers:
+        h = (h ^ number) + 0x9E3779B97F4A7C15 & 0xFFFFFFFFFFFFFFFF
+        h = (h ^ h >> 30) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
+        h = (h ^ h >> 27) * 0x94D049BB133111EB & 0xFFFFFFFFFFFFFFFF
+        h ^= h >> 31
+    return h
+
+
+class Director:
+    """Decides for the sessions that one director takes; knows only its own events."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.settings = settings
+        self.seed = seed
+        self.nodes: dict[int, _Node] = {}
+        self.sessions: dict[int, _Session] = {}
+        self.held: dict[int, _Session] = {}
+        self.seats: dict[tuple[int, int], int] = {}
+        self.asks: deque[float] = deque()
+        self.extras: deque[float] = deque()
+        self.started_at: float | None = None
+        self.now = 0.0
+        self.out: list[Action] = []
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        """Take one event in; give back the actions in the order in which they are to be carried out."""
+        self.now, self.out = now, []
+        if self.started_at is None:
+            self.started_at = now
+            self.out.append(SetTimer(BEAT_MS, 0))
+        match event:
+            case Ask():
+                self._take(event)
+            case Started():
+                self._started(event)
+            case Ended():
+                self._ended(event)
+            case Note():
+                self._note(event)
+            case Wake():
+                self.out.append(SetTimer(BEAT_MS, 0))
+                self._beat()
+            case NodeList():
+                self._list(event)
+            case Resumed():
+                self._resumed(event)
+            case Withdrawn():
+                self._withdrawn(event)
+            case Probed():
+                self._heard(self.nodes.get(event.node), event.load)
+        return self.out
+
+    # ---- Estimate -----------------------------------------------------------------------------------------
+    def _heard(self, node: _Node | None, load: Load | None) -> None:
+        if node is None or load is None:
+            return
+        use = load.link if load.link is not None else load.link_up_to_one
+        if use is not None:
+            self._set_use(node, use)
+
+    def _set_use(self, node: _Node, use: float) -> None:
+        node.use, node.own_kb_then = use, node.own_kb
+
+    def _note(self, note: Note) -> None:
+        session = self.sessions.get(note.session)
+        node = self.nodes.get(note.node)
+        if note.kind is NoteKind.RUNG:
+            if session is not None and session.node is not None:
+                self._count(session, int(note.value))
+        elif node is not None and note.kind is NoteKind.DELIVERED:
+            node.short = note.value < 0.98
+        elif node is not None and note.kind is NoteKind.LINK:
+            self._set_use(node, note.value)
+
+    def _use(self, node: _Node) -> float:
+        """Estimated share of the node's link that is asked."""
+        if node.short:
+            return max(1.0, node.use or 0.0)
+        own = node.own_kb / node.link_kb
+        if node.use is not None:
+            return max(own, node.use + (node.own_kb - node.own_kb_then) / node.link_kb)
+        heard = [other.use for other in self.nodes.values() if other.use is not None]
+        average = sum(heard) / len(heard) if heard else 0.0
+        return max(own, average + own)
+
+    # ---- Choice -------------------------------------------------------------------------------------------
+    def _work(self, node: _Node) -> float:
+        """Weighted work left at the node: set-ups in flight and playing rates, over its link."""
+        playing = [s.kb for s in node.sessions.values() if s.state is _State.PLAYING]
+        everywhere = [s.kb for s in self.sessions.values() if s.state is _State.PLAYING]
+        set_up_kb = sum(everywhere) / len(everywhere) if everywhere else self.settings.ladder_kb[0]
+        return (node.setting_up * set_up_kb + sum(playing)) / node.link_kb
+
+    def _holders(self, session: _Session) -> Iterator[_Node]:
+        """The title's holders that may be sent a set-up now, least work first."""
+        ask, cells = session.ask, self.settings.cells
+        found = [
+            node
+            for node in self.nodes.values()
+            if (node.info.cell - ask.first_cell) % cells < ask.holders
+            and node.info.status is Status.READY
+            and node.info.node not in session.tried
+            and self._healthy(node)
+            and self._warm_enough(node)
+        ]
+        tie = _mix(self.settings.director, ask.session)
+        found.sort(key=lambda node: (self._work(node), _mix(tie, node.info.node)))
+        return iter(found)
+
+    # ---- Rung ---------------------------------------------------------------------------------------------
+    def _class(self, ask: Ask) -> SessionClass:
+        return self.settings.classes[ask.klass]
+
+    def _kb(self, ask: Ask, rung: int) -> float:
+        return self.settings.ladder_kb[rung] * self._class(ask).rate_scale
+
+    def _rung(self, node: _Node, ask: Ask) -> int | None:
+        """The highest rung that keeps the link's estimated use under the mark."""
+        klass = self._class(ask)
+        room = (MARK - self._use(node)) * node.link_kb
+        for rung in range(min(ask.best_rung, klass.top), klass.floor - 1, -1):
+            if self._kb(ask, rung) <= room:
+                return rung
+        return None
+
+    # ---- Request life -------------------------------------------------------------------------------------
+    def _take(self, ask: Ask) -> None:
+        session = _Session(ask, self.now, self.now + ask.ttl_ms)
+        self.asks.append(self.now)
+        self.sessions[ask.session] = session
+        if not self._place(session):
+            self._hold(session)
+
+    def _place(self, session: _Session) -> bool:
+        klass = self._class(session.ask)
+        if session.ask.best_rung < klass.floor or not self._seat_free(session.ask):
+            return False
+        for node in self._holders(session):
+            rung = self._rung(node, session.ask)
+            if rung is not None:
+                self._send(session, node, rung)
+                return True
+        return False
+
+    def _send(self, session: _Session, node: _Node, rung: int) -> None:
+        self.held.pop(session.ask.session, None)
+        if session.attempts:
+            self.extras.append(self.now)
+        left = session.deadline - self.now
+        klass = self._class(session.ask)
+        if klass.repeat is Repeat.FREE:
+            left = min(left, max(TRY_PART * klass.wanted_ms, 1.0))
+        session.attempts += 1
+        session.tried.append(node.info.node)
+        session.state, session.node = _State.SETTING_UP, node
+        node.sessions[session.ask.session] = session
+        node.setting_up += 1
+        node.cold_sends.append(self.now)
+        seat = (session.ask.title, session.ask.klass)
+        self.seats[seat] = self.seats.get(seat, 0) + 1
+        self._count(session, rung)
+        self.out += [SetRung(session.ask.session, rung), SetUp(session.ask.session, node.info.node, left)]
+
+    def _count(self, session: _Session, rung: int) -> None:
+        """Book the session's rate at its node."""
+        kb = self._kb(session.ask, rung)
+        if session.node is not None:
+            session.node.own_kb += kb - session.kb
+        session.rung, session.kb = rung, kb
+
+    def _hold(self, session: _Session) -> None:
+        """Keep the request for a brief while, or give it up at once where no hold can help."""
+        if self._hold_ends(session) <= self.now:
+            self._give_up(session)
+        else:
+            session.state = _State.HELD
+            self.held[session.ask.session] = session
+
+    def _hold_ends(self, session: _Session) -> float:
+        return min(session.asked_at + HOLD_MS, session.deadline - 2 * BEAT_MS)
+
+    def _give_up(self, session: _Session) -> None:
+        """The final answer, at once: refused where nothing can have run, failed otherwise."""
+        name = session.ask.session
+        self.held.pop(name, None)
+        self.sessions.pop(name, None)
+        if session.may_have_run and self._class(session.ask).repeat is not Repeat.FREE:
+            self.out.append(Fail(name))
+        else:
+            self.out.append(Refuse(name, self.settings.come_back_max_ms if self.settings.come_back else 0.0))
+
+    def _beat(self) -> None:
+        for session in list(self.held.values()):
+            if not self._place(session) and self._hold_ends(session) <= self.now:
+                self._give_up(session)
+
+    def _started(self, event: Started) -> None:
+        session = self.sessions.get(event.session)
+        if session is None or session.node is None or session.state is not _State.SETTING_UP:
+            return
+        session.state, session.answered = _State.PLAYING, True
+        session.node.setting_up -= 1
+        self._well(session.node)
+
+    def _ended(self, event: Ended) -> None:
+        node = self.nodes.get(event.node)
+        self._heard(node, event.load)
+        session = self.sessions.get(event.session)
+        if session is None or session.node is None or session.attempts - 1 != event.attempt:
+            return
+        was_playing = session.state is _State.PLAYING
+        self._leave(session)
+        if node is not None:
+            self._judge(node, event.outcome, was_playing)
+        if event.outcome is Outcome.FULL and node is not None:
+            self._set_use(node, max(1.0, self.settings.node_full_from, node.use or 0.0))
+        if event.outcome is Outcome.NEVER_SENT and self.extras and session.attempts > 1:
+            self.extras.pop()
+        session.may_have_run |= not event.outcome.proves_unrun
+        if event.final or session.answered:
+            self.sessions.pop(event.session, None)
+        elif not self._may_try_again(session):
+            self._give_up(session)
+        elif not self._place(session):
+            self._hold(session)
+
+    def _may_try_again(self, session: _Session) -> bool:
+        if session.may_have_run and self._class(session.ask).repeat is not Repeat.FREE:
+            return False
+        return (
+            session.attempts < self.settings.max_attempts
+            and session.deadline - self.now > self.settings.tick_ms
+            and self._budget_allows()
+        )
+
+    def _leave(self, session: _Session) -> None:
+        """Take the session off its node's counters."""
+        node = session.node
+        if node is None:
+            return
+        self._free_seat(session.ask)
+        if session.state is _State.SETTING_UP:
+            node.setting_up -= 1
+        node.own_kb -= session.kb
+        node.sessions.pop(session.ask.session, None)
+        session.node, session.kb, session.state = None, 0.0, _State.HELD
+
+    def _withdrawn(self, event: Withdrawn) -> None:
+        session = self.sessions.get(event.session)
+        if session is None:
+            return
+        self.held.pop(event.session, None)
+        session.answered = True
+        if session.node is None:
+            self.sessions.pop(event.session, None)
+
+    def _resumed(self, event: Resumed) -> None:
+        node = self.nodes.get(event.node)
+        if node is None:
+            return
+        session = _Session(event.ask, self.now, self.now, _State.PLAYING, True, attempts=1, node=node)
+        self.sessions[event.ask.session] = session
+        node.sessions[event.ask.session] = session
+        seat = (event.ask.title, event.ask.klass)
+        self.seats[seat] = self.seats.get(seat, 0) + 1
+        self._count(session, self._class(event.ask).floor)
+
+    # ---- Guards -------------------------------------------------------------------------------------------
+    def _list(self, event: NodeList) -> None:
+        if event.kind is ListKind.FAILED:
+            return
+        named = {info.node for info in event.nodes}
+        for info in event.nodes:
+            self._listed(info, event.kind)
+        if event.kind is not ListKind.DELTA:
+            for name in [name for name in self.nodes if name not in named]:
+                self.nodes.pop(name)
+
+    def _listed(self, info: NodeInfo, kind: ListKind) -> None:
+        node = self.nodes.get(info.node)
+        if info.status is Status.GONE:
+            self.nodes.pop(info.node, None)
+            return
+        if node is None:
+            link_kb = max(info.weight * self.settings.link_kb_per_weight, 1.0)
+            node = self.nodes[info.node] = _Node(info, link_kb)
+            if kind is ListKind.CACHED:
+                node.cold_since = self.now  # a cached list may be stale: the node may have restarted since
+        elif info.started_ms != node.info.started_ms:
+            node.use, node.short = None, False
+            node.strikes, node.suspensions, node.suspended_until = 0, 0, 0.0
+        node.info = info
+        if info.started_ms > 0:
+            node.cold_since = max(node.cold_since, info.started_ms)
+
+
+    def _warm_enough(self, node: _Node) -> bool:
+        """Keeps this director's set-ups to a cold node within its own part of the node's budget."""
+        s = self.settings
+        age = self.now - node.cold_since
+        while node.cold_sends and node.cold_sends[0] < self.now - s.warm_up_ms:
+            node.cold_sends.popleft()
+        if age >= s.warm_up_ms:
+            return True
+        slots = s.kind_slots[node.info.kind] if node.info.kind < len(s.kind_slots) else min(s.kind_slots)
+        gap = s.warm_up_ms / (slots * s.cold_from * s.cold_multiple * COLD_PART)
+        turn = int(age // gap) % s.directors == s.director % s.directors
+        return turn and (not node.cold_sends or self.now - node.cold_sends[-1] >= gap)
+
+    def _healthy(self, node: _Node) -> bool:
+        if node.suspensions == 0:
+            return True
+        return self.now >= node.suspended_until and node.setting_up == 0
+
+    def _judge(self, node: _Node, outcome: Outcome, was_playing: bool) -> None:
+        lost = outcome in (Outcome.RESET, Outcome.CONNECT_FAILED)
+        if lost or (outcome in (Outcome.ERROR, Outcome.TIMEOUT) and not was_playing):
+            node.strikes += STRIKES if lost else 1
+            if node.strikes >= STRIKES and self.now >= node.suspended_until:
+                pause = min(SUSPEND_MS * 2**node.suspensions, SUSPEND_MAX_MS)
+                node.suspensions += 1
+                node.suspended_until = self.now + pause
+
+    def _well(self, node: _Node) -> None:
+        if node.suspensions:
+            node.cold_since = max(node.cold_since, self.now)  # it may have restarted since
+        node.strikes = node.suspensions = 0
+
+    def _seat_free(self, ask: Ask) -> bool:
+        seats = self._class(ask).seats
+        return seats <= 0 or self.seats.get((ask.title, ask.klass), 0) < seats
+
+    def _free_seat(self, ask: Ask) -> None:
+        seat = (ask.title, ask.klass)
+        left = self.seats.get(seat, 0) - 1
+        if left > 0:
+            self.seats[seat] = left
+        else:
+            self.seats.pop(seat, None)
+
+    def _budget_allows(self) -> bool:
+        s = self.settings
+        for log in (self.asks, self.extras):
+            while log and log[0] <= self.now - s.extra_span_ms:
+                log.popleft()
+        if s.extra_span_ms <= 0:
+            return True
+        return len(self.extras) + 1 <= s.extra_free + s.extra_ratio * len(self.asks)
