--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -7,38 +7,13 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import Enum
 
-from foxlift.interface import (
-    Action,
-    Ask,
-    Ended,
-    Event,
-    Fail,
-    ListKind,
-    Load,
-    NodeInfo,
-    NodeList,
-    Note,
-    NoteKind,
-    Outcome,
-    Probed,
-    Refuse,
-    Repeat,
-    Resumed,
-    SessionClass,
-    SetRung,
-    SetTimer,
-    Settings,
-    SetUp,
-    Started,
-    Status,
-    Wake,
-    Withdrawn,
-)
+from foxlift import interface as fl
 
 # ---- Constants --------------------------------------------------------------------------------------------
 MARK = 0.9  # share of a link; the rest is left for true rates above the ladder and other directors' set-ups
@@ -49,6 +24,12 @@
 SUSPEND_MS = 1000.0  # ms; first suspension of a node that failed; doubles with each further failure
 SUSPEND_MAX_MS = 8000.0  # ms; longest suspension: a node is back in service seconds after it returns
 STRIKES = 2  # failures in a row, each of which may be the session's own fault, that suspend a node
+SHORT = 0.98  # share delivered under which sessions lose worth, and nodes tell of it
+SHORT_LASTS_MS = 2500.0  # ms; notes of short delivery come each second; without more it is over
+LINK_EXPLAINS = 0.9  # asked of the link times share delivered: about 1 where the link is what is short
+UNHEARD = 0.6  # use of a link while nothing at all has been heard: a fresh director starts at middling rungs
+REPORT_AGE_MS = 400.0  # ms; typical age of a report in an answer, refreshed now and then and sent late
+LOGGED = 200  # own changes kept between two pieces of news on a pipe
 
 
 class _State(Enum):
@@ -59,7 +40,7 @@
 
 @dataclass(slots=True)
 class _Session:
-    ask: Ask
+    ask: fl.Ask
     asked_at: float
     deadline: float
     state: _State = _State.HELD
@@ -72,16 +53,42 @@
     tried: list[int] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class _Pipe:
+    """A node's link or a rack's uplink: what is asked of it, heard and booked."""
+
+    kb: float  # what it gives: told, or learned from short delivery
+    own_kb: float = 0.0  # asked by this director's own sessions, set-ups included
+    use: float | None = None  # last heard: asked over given
+    moment: float = -1e18  # when that was true
+    changes: deque[tuple[float, float]] = field(default_factory=lambda: deque(maxlen=LOGGED))
+    short_until: float = -1e18
+
+    def book(self, now: float, kb: float) -> None:
+        self.own_kb += kb
+        self.changes.append((now, kb))
+
+    def tell(self, use: float, moment: float) -> None:
+        """Take news in, unless something later is known."""
+        if moment >= self.moment:
+            self.use, self.moment = use, moment
+            while self.changes and self.changes[0][0] <= moment:
+                self.changes.popleft()
+
+    def heard_use(self) -> float | None:
+        """Last news, corrected by this director's own starts, ends and rung changes since their moment."""
+        if self.use is None:
+            return None
+        return max(self.use + sum(kb for _, kb in self.changes) / self.kb, self.own_kb / self.kb)
+
+
 @dataclass(slots=True)
 class _Node:
-    info: NodeInfo
-    link_kb: float
+    info: fl.NodeInfo
+    link: _Pipe
+    rack: _Pipe
     sessions: dict[int, _Session] = field(default_factory=dict)
     setting_up: int = 0
-    own_kb: float = 0.0
-    use: float | None = None  # last heard: asked of the link over what it gives
-    own_kb_then: float = 0.0  # this director's own part when that was heard
-    short: bool = False
     cold_since: float = -1e18
     strikes: int = 0
     suspensions: int = 0
@@ -103,10 +110,11 @@
 class Director:
     """Decides for the sessions that one director takes; knows only its own events."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: fl.Settings, seed: int) -> None:
         self.settings = settings
         self.seed = seed
         self.nodes: dict[int, _Node] = {}
+        self.racks: dict[int, _Pipe] = {}
         self.sessions: dict[int, _Session] = {}
         self.held: dict[int, _Session] = {}
         self.seats: dict[tuple[int, int], int] = {}
@@ -114,68 +122,104 @@
         self.extras: deque[float] = deque()
         self.started_at: float | None = None
         self.now = 0.0
-        self.out: list[Action] = []
+        self.out: list[fl.Action] = []
 
-    def handle(self, now: float, event: Event) -> list[Action]:
+    def handle(self, now: float, event: fl.Event) -> list[fl.Action]:
         """Take one event in; give back the actions in the order in which they are to be carried out."""
         self.now, self.out = now, []
         if self.started_at is None:
             self.started_at = now
-            self.out.append(SetTimer(BEAT_MS, 0))
+            self.out.append(fl.SetTimer(BEAT_MS, 0))
         match event:
-            case Ask():
+            case fl.Ask():
                 self._take(event)
-            case Started():
+            case fl.Started():
                 self._started(event)
-            case Ended():
+            case fl.Ended():
                 self._ended(event)
-            case Note():
+            case fl.Note():
                 self._note(event)
-            case Wake():
-                self.out.append(SetTimer(BEAT_MS, 0))
+            case fl.Wake():
+                self.out.append(fl.SetTimer(BEAT_MS, 0))
                 self._beat()
-            case NodeList():
+            case fl.NodeList():
                 self._list(event)
-            case Resumed():
+            case fl.Resumed():
                 self._resumed(event)
-            case Withdrawn():
+            case fl.Withdrawn():
                 self._withdrawn(event)
-            case Probed():
+            case fl.Probed():
                 self._heard(self.nodes.get(event.node), event.load)
         return self.out
 
     # ---- Estimate -----------------------------------------------------------------------------------------
-    def _heard(self, node: _Node | None, load: Load | None) -> None:
+    def _heard(self, node: _Node | None, load: fl.Load | None) -> None:
+        """A report in an answer: noisy, so half of what was expected is kept."""
         if node is None or load is None:
             return
         use = load.link if load.link is not None else load.link_up_to_one
-        if use is not None:
-            self._set_use(node, use)
-
-    def _set_use(self, node: _Node, use: float) -> None:
-        node.use, node.own_kb_then = use, node.own_kb
+        for pipe, value in ((node.link, use), (node.rack, load.uplink)):
+            if value is not None:
+                expected = pipe.heard_use()
+                pipe.tell(value if expected is None else (value + expected) / 2, self.now - REPORT_AGE_MS)
 
-    def _note(self, note: Note) -> None:
+    def _note(self, note: fl.Note) -> None:
         session = self.sessions.get(note.session)
         node = self.nodes.get(note.node)
-        if note.kind is NoteKind.RUNG:
-            if session is not None and session.node is not None:
-                self._count(session, int(note.value))
-        elif node is not None and note.kind is NoteKind.DELIVERED:
-            node.short = note.value < 0.98
-        elif node is not None and note.kind is NoteKind.LINK:
-            self._set_use(node, note.value)
-
-    def _use(self, node: _Node) -> float:
-        """Estimated share of the node's link that is asked."""
-        if node.short:
-            return max(1.0, node.use or 0.0)
-        own = node.own_kb / node.link_kb
-        if node.use is not None:
-            return max(own, node.use + (node.own_kb - node.own_kb_then) / node.link_kb)
-        heard = [other.use for other in self.nodes.values() if other.use is not None]
-        average = sum(heard) / len(heard) if heard else 0.0
-        return max(own, average + own)
+        if note.kind is fl.NoteKind.RUNG and session is not None:
+            self._count(session, int(note.value))
+        if node is None or session is None:
+            return
+        moment = self.now - self.settings.note_late_ms
+        if note.kind is fl.NoteKind.DELIVERED:
+            self._delivered(node, note.value, moment)
+        elif note.kind is fl.NoteKind.LINK:
+            node.link.tell(note.value, moment)
+        elif note.kind is fl.NoteKind.UPLINK:
+            node.rack.tell(note.value, moment)
+
+    def _delivered(self, node: _Node, share: float, moment: float) -> None:
+        """A short delivery marks the pipe that explains it as full; the note after it clears both.
+
+        A node's link explains it where the link is known to be about as full; otherwise it is the uplink,
+        and the share tells what the uplink really gives.
+        """
+        if share >= SHORT:
+            node.link.short_until = node.rack.short_until = self.now
+        elif node.rack.kb == math.inf or self._link_use(node) * share > LINK_EXPLAINS:
+            node.link.short_until = self.now + SHORT_LASTS_MS
+            node.link.tell(max(1 / max(share, 0.1), node.link.use or 0.0), moment)
+        else:
+            node.rack.short_until = self.now + SHORT_LASTS_MS
+            if node.rack.use is None:
+                node.rack.kb = max(share * self._rack_use(node.rack) * node.rack.kb, node.rack.own_kb * share)
+            else:
+                node.rack.tell(max(1 / max(share, 0.1), node.rack.use), moment)
+
+    def _link_use(self, node: _Node) -> float:
+        """Estimated share of the node's link that is asked; an unheard node counts as average."""
+        use = node.link.heard_use()
+        if use is not None:
+            return use
+        heard = [other.link.use for other in self.nodes.values() if other.link.use is not None]
+        average = sum(heard) / len(heard) if heard else UNHEARD
+        return max(average, node.link.own_kb * self.settings.directors / node.link.kb)
+
+    def _rack_use(self, rack: _Pipe) -> float:
+        """Estimated share of the uplink that is asked: heard, or summed over the rack's links."""
+        use = rack.heard_use()
+        if use is not None:
+            return use
+        return sum(self._link_use(node) * node.link.kb for node in self.nodes.values() if node.rack is rack) / rack.kb
+
+    def _room(self, node: _Node) -> float:
+        """What may still be asked of node and rack, kB a second, under the mark; none while either is short."""
+        if max(node.link.short_until, node.rack.short_until) > self.now:
+            return 0.0
+        room = (MARK - self._link_use(node)) * node.link.kb
+        if node.rack.kb < math.inf:
+            room = min(room, (MARK - self._rack_use(node.rack)) * node.rack.kb)
+        return room
 
     # ---- Choice -------------------------------------------------------------------------------------------
     def _work(self, node: _Node) -> float:
@@ -183,7 +227,7 @@
         playing = [s.kb for s in node.sessions.values() if s.state is _State.PLAYING]
         everywhere = [s.kb for s in self.sessions.values() if s.state is _State.PLAYING]
         set_up_kb = sum(everywhere) / len(everywhere) if everywhere else self.settings.ladder_kb[0]
-        return (node.setting_up * set_up_kb + sum(playing)) / node.link_kb
+        return (node.setting_up * set_up_kb + sum(playing)) / node.link.kb
 
     def _holders(self, session: _Session) -> Iterator[_Node]:
         """The title's holders that may be sent a set-up now, least work first."""
@@ -192,7 +236,7 @@
             node
             for node in self.nodes.values()
             if (node.info.cell - ask.first_cell) % cells < ask.holders
-            and node.info.status is Status.READY
+            and node.info.status is fl.Status.READY
             and node.info.node not in session.tried
             and self._healthy(node)
             and self._warm_enough(node)
@@ -202,23 +246,23 @@
         return iter(found)
 
     # ---- Rung ---------------------------------------------------------------------------------------------
-    def _class(self, ask: Ask) -> SessionClass:
+    def _class(self, ask: fl.Ask) -> fl.SessionClass:
         return self.settings.classes[ask.klass]
 
-    def _kb(self, ask: Ask, rung: int) -> float:
+    def _kb(self, ask: fl.Ask, rung: int) -> float:
         return self.settings.ladder_kb[rung] * self._class(ask).rate_scale
 
-    def _rung(self, node: _Node, ask: Ask) -> int | None:
+    def _rung(self, node: _Node, ask: fl.Ask) -> int | None:
         """The highest rung that keeps the link's estimated use under the mark."""
         klass = self._class(ask)
-        room = (MARK - self._use(node)) * node.link_kb
+        room = self._room(node)
         for rung in range(min(ask.best_rung, klass.top), klass.floor - 1, -1):
             if self._kb(ask, rung) <= room:
                 return rung
         return None
 
     # ---- Request life -------------------------------------------------------------------------------------
-    def _take(self, ask: Ask) -> None:
+    def _take(self, ask: fl.Ask) -> None:
         session = _Session(ask, self.now, self.now + ask.ttl_ms)
         self.asks.append(self.now)
         self.sessions[ask.session] = session
@@ -242,7 +286,7 @@
             self.extras.append(self.now)
         left = session.deadline - self.now
         klass = self._class(session.ask)
-        if klass.repeat is Repeat.FREE:
+        if klass.repeat is fl.Repeat.FREE:
             left = min(left, max(TRY_PART * klass.wanted_ms, 1.0))
         session.attempts += 1
         session.tried.append(node.info.node)
@@ -253,14 +297,19 @@
         seat = (session.ask.title, session.ask.klass)
         self.seats[seat] = self.seats.get(seat, 0) + 1
         self._count(session, rung)
-        self.out += [SetRung(session.ask.session, rung), SetUp(session.ask.session, node.info.node, left)]
+        self.out.append(fl.SetRung(session.ask.session, rung))
+        self.out.append(fl.SetUp(session.ask.session, node.info.node, left))
 
     def _count(self, session: _Session, rung: int) -> None:
-        """Book the session's rate at its node."""
-        kb = self._kb(session.ask, rung)
+        """Book the session's rate at its node and rack."""
+        self._book(session, self._kb(session.ask, rung))
+        session.rung = rung
+
+    def _book(self, session: _Session, kb: float) -> None:
         if session.node is not None:
-            session.node.own_kb += kb - session.kb
-        session.rung, session.kb = rung, kb
+            session.node.link.book(self.now, kb - session.kb)
+            session.node.rack.book(self.now, kb - session.kb)
+        session.kb = kb
 
     def _hold(self, session: _Session) -> None:
         """Keep the request for a brief while, or give it up at once where no hold can help."""
@@ -278,17 +327,18 @@
         name = session.ask.session
         self.held.pop(name, None)
         self.sessions.pop(name, None)
-        if session.may_have_run and self._class(session.ask).repeat is not Repeat.FREE:
-            self.out.append(Fail(name))
+        if session.may_have_run and self._class(session.ask).repeat is not fl.Repeat.FREE:
+            self.out.append(fl.Fail(name))
         else:
-            self.out.append(Refuse(name, self.settings.come_back_max_ms if self.settings.come_back else 0.0))
+            come_back = self.settings.come_back_max_ms if self.settings.come_back else 0.0
+            self.out.append(fl.Refuse(name, come_back))
 
     def _beat(self) -> None:
         for session in list(self.held.values()):
             if not self._place(session) and self._hold_ends(session) <= self.now:
                 self._give_up(session)
 
-    def _started(self, event: Started) -> None:
+    def _started(self, event: fl.Started) -> None:
         session = self.sessions.get(event.session)
         if session is None or session.node is None or session.state is not _State.SETTING_UP:
             return
@@ -296,7 +346,7 @@
         session.node.setting_up -= 1
         self._well(session.node)
 
-    def _ended(self, event: Ended) -> None:
+    def _ended(self, event: fl.Ended) -> None:
         node = self.nodes.get(event.node)
         self._heard(node, event.load)
         session = self.sessions.get(event.session)
@@ -306,9 +356,9 @@
         self._leave(session)
         if node is not None:
             self._judge(node, event.outcome, was_playing)
-        if event.outcome is Outcome.FULL and node is not None:
-            self._set_use(node, max(1.0, self.settings.node_full_from, node.use or 0.0))
-        if event.outcome is Outcome.NEVER_SENT and self.extras and session.attempts > 1:
+        if event.outcome is fl.Outcome.FULL and node is not None:
+            node.link.tell(max(1.0, self.settings.node_full_from, node.link.use or 0.0), self.now)
+        if event.outcome is fl.Outcome.NEVER_SENT and self.extras and session.attempts > 1:
             self.extras.pop()
         session.may_have_run |= not event.outcome.proves_unrun
         if event.final or session.answered:
@@ -319,7 +369,7 @@
             self._hold(session)
 
     def _may_try_again(self, session: _Session) -> bool:
-        if session.may_have_run and self._class(session.ask).repeat is not Repeat.FREE:
+        if session.may_have_run and self._class(session.ask).repeat is not fl.Repeat.FREE:
             return False
         return (
             session.attempts < self.settings.max_attempts
@@ -335,11 +385,11 @@
         self._free_seat(session.ask)
         if session.state is _State.SETTING_UP:
             node.setting_up -= 1
-        node.own_kb -= session.kb
+        self._book(session, 0.0)
         node.sessions.pop(session.ask.session, None)
-        session.node, session.kb, session.state = None, 0.0, _State.HELD
+        session.node, session.state = None, _State.HELD
 
-    def _withdrawn(self, event: Withdrawn) -> None:
+    def _withdrawn(self, event: fl.Withdrawn) -> None:
         session = self.sessions.get(event.session)
         if session is None:
             return
@@ -348,7 +398,7 @@
         if session.node is None:
             self.sessions.pop(event.session, None)
 
-    def _resumed(self, event: Resumed) -> None:
+    def _resumed(self, event: fl.Resumed) -> None:
         node = self.nodes.get(event.node)
         if node is None:
             return
@@ -360,28 +410,29 @@
         self._count(session, self._class(event.ask).floor)
 
     # ---- Guards -------------------------------------------------------------------------------------------
-    def _list(self, event: NodeList) -> None:
-        if event.kind is ListKind.FAILED:
+    def _list(self, event: fl.NodeList) -> None:
+        if event.kind is fl.ListKind.FAILED:
             return
         named = {info.node for info in event.nodes}
         for info in event.nodes:
             self._listed(info, event.kind)
-        if event.kind is not ListKind.DELTA:
+        if event.kind is not fl.ListKind.DELTA:
             for name in [name for name in self.nodes if name not in named]:
                 self.nodes.pop(name)
 
-    def _listed(self, info: NodeInfo, kind: ListKind) -> None:
+    def _listed(self, info: fl.NodeInfo, kind: fl.ListKind) -> None:
         node = self.nodes.get(info.node)
-        if info.status is Status.GONE:
+        if info.status is fl.Status.GONE:
             self.nodes.pop(info.node, None)
             return
         if node is None:
-            link_kb = max(info.weight * self.settings.link_kb_per_weight, 1.0)
-            node = self.nodes[info.node] = _Node(info, link_kb)
-            if kind is ListKind.CACHED:
+            link = _Pipe(max(info.weight * self.settings.link_kb_per_weight, 1.0))
+            rack = self.racks.setdefault(info.cell % self.settings.racks, _Pipe(self.settings.uplink_kb or math.inf))
+            node = self.nodes[info.node] = _Node(info, link, rack)
+            if kind is fl.ListKind.CACHED:
                 node.cold_since = self.now  # a cached list may be stale: the node may have restarted since
         elif info.started_ms != node.info.started_ms:
-            node.use, node.short = None, False
+            node.link.use = None
             node.strikes, node.suspensions, node.suspended_until = 0, 0, 0.0
         node.info = info
         if info.started_ms > 0:
@@ -406,9 +457,9 @@
             return True
         return self.now >= node.suspended_until and node.setting_up == 0
 
-    def _judge(self, node: _Node, outcome: Outcome, was_playing: bool) -> None:
-        lost = outcome in (Outcome.RESET, Outcome.CONNECT_FAILED)
-        if lost or (outcome in (Outcome.ERROR, Outcome.TIMEOUT) and not was_playing):
+    def _judge(self, node: _Node, outcome: fl.Outcome, was_playing: bool) -> None:
+        lost = outcome in (fl.Outcome.RESET, fl.Outcome.CONNECT_FAILED)
+        if lost or (outcome in (fl.Outcome.ERROR, fl.Outcome.TIMEOUT) and not was_playing):
             node.strikes += STRIKES if lost else 1
             if node.strikes >= STRIKES and self.now >= node.suspended_until:
                 pause = min(SUSPEND_MS * 2**node.suspensions, SUSPEND_MAX_MS)
@@ -420,11 +471,11 @@
             node.cold_since = max(node.cold_since, self.now)  # it may have restarted since
         node.strikes = node.suspensions = 0
 
-    def _seat_free(self, ask: Ask) -> bool:
+    def _seat_free(self, ask: fl.Ask) -> bool:
         seats = self._class(ask).seats
         return seats <= 0 or self.seats.get((ask.title, ask.klass), 0) < seats
 
-    def _free_seat(self, ask: Ask) -> None:
+    def _free_seat(self, ask: fl.Ask) -> None:
         seat = (ask.title, ask.klass)
         left = self.seats.get(seat, 0) - 1
         if left > 0:
