--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -24,6 +24,13 @@
 SUSPEND_MS = 1000.0  # ms; first suspension of a node that failed; doubles with each further failure
 SUSPEND_MAX_MS = 8000.0  # ms; longest suspension: a node is back in service seconds after it returns
 STRIKES = 2  # failures in a row, each of which may be the session's own fault, that suspend a node
+FULL = 0.97  # use of a pipe above which own sessions there are lowered
+SHED_TO = 0.88  # use of a pipe down to which they are lowered: under the mark, so that it is not full again at once
+RAISE_TO = 0.8  # use of a pipe up to which playing sessions are raised: a gap to FULL, against flapping
+RAISE_AFTER_MS = 4000.0  # ms; room must have lasted so long: longer than news take to show a change
+RAISE_REPAYS = 2.0  # a raise must gain so many times what the change costs
+LEFT_S = 20.0  # s; expected rest of a session without a hint
+LEFT_LEAST_S = 4.0  # s; least expected rest of a session whose hint has run out
 SHORT = 0.98  # share delivered under which sessions lose worth, and nodes tell of it
 SHORT_LASTS_MS = 2500.0  # ms; notes of short delivery come each second; without more it is over
 LINK_EXPLAINS = 0.9  # asked of the link times share delivered: about 1 where the link is what is short
@@ -63,6 +70,9 @@
     moment: float = -1e18  # when that was true
     changes: deque[tuple[float, float]] = field(default_factory=lambda: deque(maxlen=LOGGED))
     short_until: float = -1e18
+    shed_at: float = -1e18  # when own sessions were last lowered for it
+    strained_at: float = -1e18  # when it was last seen too full
+    raised_at: float = -1e18
 
     def book(self, now: float, kb: float) -> None:
         self.own_kb += kb
@@ -177,6 +187,9 @@
             node.link.tell(note.value, moment)
         elif note.kind is fl.NoteKind.UPLINK:
             node.rack.tell(note.value, moment)
+        self._shed(node.link, self._link_use(node), moment)
+        if node.rack.kb < math.inf:
+            self._shed(node.rack, self._rack_use(node.rack), moment)
 
     def _delivered(self, node: _Node, share: float, moment: float) -> None:
         """A short delivery marks the pipe that explains it as full; the note after it clears both.
@@ -210,15 +223,16 @@
         use = rack.heard_use()
         if use is not None:
             return use
-        return sum(self._link_use(node) * node.link.kb for node in self.nodes.values() if node.rack is rack) / rack.kb
+        asked = (self._link_use(node) * node.link.kb for node in self.nodes.values() if node.rack is rack)
+        return sum(asked) / rack.kb
 
-    def _room(self, node: _Node) -> float:
-        """What may still be asked of node and rack, kB a second, under the mark; none while either is short."""
+    def _room(self, node: _Node, mark: float = MARK) -> float:
+        """What may still be asked of node and rack, kB a second, under the mark; none while short."""
         if max(node.link.short_until, node.rack.short_until) > self.now:
             return 0.0
-        room = (MARK - self._link_use(node)) * node.link.kb
+        room = (mark - self._link_use(node)) * node.link.kb
         if node.rack.kb < math.inf:
-            room = min(room, (MARK - self._rack_use(node.rack)) * node.rack.kb)
+            room = min(room, (mark - self._rack_use(node.rack)) * node.rack.kb)
         return room
 
     # ---- Choice -------------------------------------------------------------------------------------------
@@ -334,6 +348,7 @@
             self.out.append(fl.Refuse(name, come_back))
 
     def _beat(self) -> None:
+        self._raise()
         for session in list(self.held.values()):
             if not self._place(session) and self._hold_ends(session) <= self.now:
                 self._give_up(session)
@@ -409,6 +424,76 @@
         self.seats[seat] = self.seats.get(seat, 0) + 1
         self._count(session, self._class(event.ask).floor)
 
+    # ---- Rung care while playing --------------------------------------------------------------------------
+    def _step_down(self, session: _Session) -> tuple[float, float]:
+        """What one rung less saves, kB a second, and what it loses in worth for each of them."""
+        ask, s = session.ask, self.settings
+        saved = session.kb - self._kb(ask, session.rung - 1)
+        lost = s.ladder_worth[session.rung] - s.ladder_worth[session.rung - 1] + self._change_cost(session)
+        return saved, self._class(ask).worth * lost / saved
+
+    def _step_up(self, session: _Session) -> tuple[float, float]:
+        """What one rung more asks, kB a second, and what it gains in worth for each of them."""
+        ask, s = session.ask, self.settings
+        added = self._kb(ask, session.rung + 1) - session.kb
+        gained = s.ladder_worth[session.rung + 1] - s.ladder_worth[session.rung]
+        return added, self._class(ask).worth * (gained - RAISE_REPAYS * self._change_cost(session)) / added
+
+    def _change_cost(self, session: _Session) -> float:
+        """A change of rung as a part of the worth that the rest of the session can earn; free before it plays."""
+        if session.state is not _State.PLAYING:
+            return 0.0
+        left = LEFT_S
+        if session.ask.length_ms is not None:
+            left = max((session.ask.length_ms + session.asked_at - self.now) / 1000.0, LEFT_LEAST_S)
+        return self.settings.rung_change_s / left
+
+    def _sessions_on(self, pipe: _Pipe) -> list[_Session]:
+        return [
+            session
+            for node in self.nodes.values()
+            if node.link is pipe or node.rack is pipe
+            for session in node.sessions.values()
+        ]
+
+    def _cheapest_down(self, sessions: list[_Session]) -> _Session | None:
+        low = [s for s in sessions if s.rung > self._class(s.ask).floor]
+        return min(low, key=lambda s: (self._step_down(s)[1], s.ask.session), default=None)
+
+    def _set_rung(self, session: _Session, rung: int) -> None:
+        self._count(session, rung)
+        self.out.append(fl.SetRung(session.ask.session, rung))
+
+    def _shed(self, pipe: _Pipe, use: float, moment: float) -> None:
+        """Lowers own sessions on a pipe asked for more than it gives, by this director's part of the excess.
+
+        Every director there hears the same news, so each cuts its own part, once for news of each moment.
+        """
+        if use <= FULL or moment <= pipe.shed_at:
+            return
+        pipe.shed_at = pipe.strained_at = self.now
+        sessions = self._sessions_on(pipe)
+        cut = pipe.own_kb * (1 - SHED_TO / use)
+        while cut > 0 and (session := self._cheapest_down(sessions)) is not None:
+            cut -= self._step_down(session)[0]
+            self._set_rung(session, session.rung - 1)
+
+    def _raise(self) -> None:
+        """Raises sessions where room has lasted and the gain repays the change; leaves others their part."""
+        for node in self.nodes.values():
+            link, rack = node.link, node.rack
+            if self.now - max(link.strained_at, rack.strained_at) < RAISE_AFTER_MS or link.moment <= link.raised_at:
+                continue
+            room = self._room(node, RAISE_TO) / self.settings.directors
+            for session in sorted(node.sessions.values(), key=lambda s: (s.rung, s.ask.session)):
+                top = min(session.ask.best_rung, self._class(session.ask).top)
+                if session.state is _State.PLAYING and session.rung < top:
+                    added, gain = self._step_up(session)
+                    if added <= room and gain > 0:
+                        room -= added
+                        link.raised_at = self.now
+                        self._set_rung(session, session.rung + 1)
+
     # ---- Guards -------------------------------------------------------------------------------------------
     def _list(self, event: fl.NodeList) -> None:
         if event.kind is fl.ListKind.FAILED:
@@ -427,7 +512,8 @@
             return
         if node is None:
             link = _Pipe(max(info.weight * self.settings.link_kb_per_weight, 1.0))
-            rack = self.racks.setdefault(info.cell % self.settings.racks, _Pipe(self.settings.uplink_kb or math.inf))
+            number = info.cell % max(self.settings.racks, 1)
+            rack = self.racks.setdefault(number, _Pipe(self.settings.uplink_kb or math.inf))
             node = self.nodes[info.node] = _Node(info, link, rack)
             if kind is fl.ListKind.CACHED:
                 node.cold_since = self.now  # a cached list may be stale: the node may have restarted since
