--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -18,6 +18,7 @@
 # ---- Constants --------------------------------------------------------------------------------------------
 MARK = 0.9  # share of a link; the rest is left for true rates above the ladder and other directors' set-ups
 BEAT_MS = 50.0  # ms; how often held requests are looked at again
+MARK_FALLS = 0.3  # how far the mark for the highest rung lies under that for the lowest
 HOLD_MS = 400.0  # ms; longest hold of a request that fits nowhere: a set-up must still make the wanted time
 TRY_PART = 0.6  # share of the wanted time that a repeatable set-up may take before the next holder is tried
 COLD_PART = 0.7  # share of a cold node's budget that is used; the rest is for unequal set-up costs
@@ -25,9 +26,9 @@
 SUSPEND_MAX_MS = 8000.0  # ms; longest suspension: a node is back in service seconds after it returns
 STRIKES = 2  # failures in a row, each of which may be the session's own fault, that suspend a node
 FULL = 0.97  # use of a pipe above which own sessions there are lowered
-SHED_TO = 0.88  # use of a pipe down to which they are lowered: under the mark, so that it is not full again at once
+SHED_TO = 0.88  # use of a pipe down to which they are lowered
 RAISE_TO = 0.8  # use of a pipe up to which playing sessions are raised: a gap to FULL, against flapping
-RAISE_AFTER_MS = 4000.0  # ms; room must have lasted so long: longer than news take to show a change
+RAISE_AFTER_MS = 8000.0  # ms; room must have lasted so long: longer than news take to show a change
 RAISE_REPAYS = 2.0  # a raise must gain so many times what the change costs
 LEFT_S = 20.0  # s; expected rest of a session without a hint
 LEFT_LEAST_S = 4.0  # s; least expected rest of a session whose hint has run out
@@ -267,11 +268,14 @@
         return self.settings.ladder_kb[rung] * self._class(ask).rate_scale
 
     def _rung(self, node: _Node, ask: fl.Ask) -> int | None:
-        """The highest rung that keeps the link's estimated use under the mark."""
+        """The highest rung that keeps the estimated use under the mark, which is lower for higher rungs.
+
+        The lower marks leave room for the sessions that follow; without them the first take it all.
+        """
         klass = self._class(ask)
-        room = self._room(node)
         for rung in range(min(ask.best_rung, klass.top), klass.floor - 1, -1):
-            if self._kb(ask, rung) <= room:
+            part = (rung - klass.floor) / max(len(self.settings.ladder_kb) - 1, 1)
+            if self._kb(ask, rung) <= self._room(node, MARK - MARK_FALLS * part):
                 return rung
         return None
 
@@ -440,7 +444,7 @@
         return added, self._class(ask).worth * (gained - RAISE_REPAYS * self._change_cost(session)) / added
 
     def _change_cost(self, session: _Session) -> float:
-        """A change of rung as a part of the worth that the rest of the session can earn; free before it plays."""
+        """A change of rung as a part of what the rest of the session can earn; free before it plays."""
         if session.state is not _State.PLAYING:
             return 0.0
         left = LEFT_S
@@ -482,7 +486,8 @@
         """Raises sessions where room has lasted and the gain repays the change; leaves others their part."""
         for node in self.nodes.values():
             link, rack = node.link, node.rack
-            if self.now - max(link.strained_at, rack.strained_at) < RAISE_AFTER_MS or link.moment <= link.raised_at:
+            strained_at = max(link.strained_at, rack.strained_at)
+            if self.now - strained_at < RAISE_AFTER_MS or link.moment <= link.raised_at:
                 continue
             room = self._room(node, RAISE_TO) / self.settings.directors
             for session in sorted(node.sessions.values(), key=lambda s: (s.rung, s.ask.session)):
