--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -33,6 +33,10 @@
 LEFT_S = 20.0  # s; expected rest of a session without a hint
 LEFT_LEAST_S = 4.0  # s; least expected rest of a session whose hint has run out
 SHORT = 0.98  # share delivered under which sessions lose worth, and nodes tell of it
+LEAST_SHARE = 0.2  # a smaller share delivered is taken for this one: one lowering never overshoots by much
+SETTLE_MS = 1000.0  # ms; shares delivered are smoothed over about this time, so they show a change late
+RECOVER_MS = 10000.0  # ms; time in which an uplink that was found weak is believed to be as told again
+LEAN = 1.5  # how much more than an even part of the sessions on a node another director may have
 SHORT_LASTS_MS = 2500.0  # ms; notes of short delivery come each second; without more it is over
 LINK_EXPLAINS = 0.9  # asked of the link times share delivered: about 1 where the link is what is short
 UNHEARD = 0.6  # use of a link while nothing at all has been heard: a fresh director starts at middling rungs
@@ -65,6 +69,7 @@
 class _Pipe:
     """A node's link or a rack's uplink: what is asked of it, heard and booked."""
 
+    told_kb: float
     kb: float  # what it gives: told, or learned from short delivery
     own_kb: float = 0.0  # asked by this director's own sessions, set-ups included
     use: float | None = None  # last heard: asked over given
@@ -74,6 +79,7 @@
     shed_at: float = -1e18  # when own sessions were last lowered for it
     strained_at: float = -1e18  # when it was last seen too full
     raised_at: float = -1e18
+    learned_at: float = 0.0
 
     def book(self, now: float, kb: float) -> None:
         self.own_kb += kb
@@ -107,6 +113,10 @@
     cold_sends: deque[float] = field(default_factory=deque)
 
 
+def _pipe(kb: float, now: float) -> _Pipe:
+    return _Pipe(kb, kb, strained_at=now)
+
+
 def _mix(*numbers: int) -> int:
     """A stable 64-bit hash of whole numbers (splitmix64 steps)."""
     h = 0
@@ -188,9 +198,12 @@
             node.link.tell(note.value, moment)
         elif note.kind is fl.NoteKind.UPLINK:
             node.rack.tell(note.value, moment)
-        self._shed(node.link, self._link_use(node), moment)
-        if node.rack.kb < math.inf:
-            self._shed(node.rack, self._rack_use(node.rack), moment)
+        if note.kind is not fl.NoteKind.DELIVERED:
+            self._recover(node.rack)
+            for pipe in (node.link, node.rack):
+                use = pipe.heard_use()
+                if use is not None and moment > pipe.shed_at:
+                    self._shed(pipe, use)
 
     def _delivered(self, node: _Node, share: float, moment: float) -> None:
         """A short delivery marks the pipe that explains it as full; the note after it clears both.
@@ -198,17 +211,29 @@
         A node's link explains it where the link is known to be about as full; otherwise it is the uplink,
         and the share tells what the uplink really gives.
         """
+        link, rack = node.link, node.rack
         if share >= SHORT:
-            node.link.short_until = node.rack.short_until = self.now
-        elif node.rack.kb == math.inf or self._link_use(node) * share > LINK_EXPLAINS:
-            node.link.short_until = self.now + SHORT_LASTS_MS
-            node.link.tell(max(1 / max(share, 0.1), node.link.use or 0.0), moment)
-        else:
-            node.rack.short_until = self.now + SHORT_LASTS_MS
-            if node.rack.use is None:
-                node.rack.kb = max(share * self._rack_use(node.rack) * node.rack.kb, node.rack.own_kb * share)
-            else:
-                node.rack.tell(max(1 / max(share, 0.1), node.rack.use), moment)
+            link.short_until = rack.short_until = self.now
+            return
+        use = 1 / max(share, LEAST_SHARE)
+        known = link.heard_use()
+        pipe = link if rack.kb == math.inf or known is None or known * share > LINK_EXPLAINS else rack
+        pipe.short_until = self.now + SHORT_LASTS_MS
+        if pipe is link or rack.use is not None:
+            pipe.tell(use, moment)
+        elif moment > rack.shed_at + SETTLE_MS:
+            rack.kb = min(rack.kb, max(share * self._rack_kb(rack), rack.own_kb * share))
+            rack.learned_at = self.now
+        if moment > pipe.shed_at + SETTLE_MS:
+            self._shed(pipe, use)
+
+    def _recover(self, rack: _Pipe) -> None:
+        """An uplink once found weak is believed in again by and by, or at once where it carries more."""
+        if rack.short_until > self.now or rack.kb == math.inf:
+            return
+        part = min((self.now - rack.learned_at) / RECOVER_MS, 1.0)
+        rack.learned_at = self.now
+        rack.kb = max(rack.kb + part * (rack.told_kb - rack.kb), min(self._rack_kb(rack), rack.told_kb))
 
     def _link_use(self, node: _Node) -> float:
         """Estimated share of the node's link that is asked; an unheard node counts as average."""
@@ -224,8 +249,19 @@
         use = rack.heard_use()
         if use is not None:
             return use
-        asked = (self._link_use(node) * node.link.kb for node in self.nodes.values() if node.rack is rack)
-        return sum(asked) / rack.kb
+        return self._rack_kb(rack) / rack.kb
+
+    def _rack_kb(self, rack: _Pipe) -> float:
+        """What is asked of all links of the rack, kB a second.
+
+        A link that gives less than told seems to be asked for more; own sessions times directors bound that.
+        """
+        total = 0.0
+        for node in self.nodes.values():
+            if node.rack is rack:
+                most = max(node.link.own_kb * self.settings.directors * LEAN, node.link.kb * UNHEARD)
+                total += max(min(self._link_use(node) * node.link.kb, most), node.link.own_kb)
+        return total
 
     def _room(self, node: _Node, mark: float = MARK) -> float:
         """What may still be asked of node and rack, kB a second, under the mark; none while short."""
@@ -468,12 +504,12 @@
         self._count(session, rung)
         self.out.append(fl.SetRung(session.ask.session, rung))
 
-    def _shed(self, pipe: _Pipe, use: float, moment: float) -> None:
+    def _shed(self, pipe: _Pipe, use: float) -> None:
         """Lowers own sessions on a pipe asked for more than it gives, by this director's part of the excess.
 
         Every director there hears the same news, so each cuts its own part, once for news of each moment.
         """
-        if use <= FULL or moment <= pipe.shed_at:
+        if use <= FULL:
             return
         pipe.shed_at = pipe.strained_at = self.now
         sessions = self._sessions_on(pipe)
@@ -516,9 +552,9 @@
             self.nodes.pop(info.node, None)
             return
         if node is None:
-            link = _Pipe(max(info.weight * self.settings.link_kb_per_weight, 1.0))
+            link = _pipe(max(info.weight * self.settings.link_kb_per_weight, 1.0), self.now)
             number = info.cell % max(self.settings.racks, 1)
-            rack = self.racks.setdefault(number, _Pipe(self.settings.uplink_kb or math.inf))
+            rack = self.racks.setdefault(number, _pipe(self.settings.uplink_kb or math.inf, self.now))
             node = self.nodes[info.node] = _Node(info, link, rack)
             if kind is fl.ListKind.CACHED:
                 node.cold_since = self.now  # a cached list may be stale: the node may have restarted since
