--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -18,18 +18,18 @@
 # ---- Constants --------------------------------------------------------------------------------------------
 MARK = 0.9  # share of a link; the rest is left for true rates above the ladder and other directors' set-ups
 BEAT_MS = 50.0  # ms; how often held requests are looked at again
-MARK_FALLS = 0.3  # how far the mark for the highest rung lies under that for the lowest
+MARK_FALLS = 0.2  # how far the mark for the highest rung lies under that for the lowest
 HOLD_MS = 400.0  # ms; longest hold of a request that fits nowhere: a set-up must still make the wanted time
 TRY_PART = 0.6  # share of the wanted time that a repeatable set-up may take before the next holder is tried
 COLD_PART = 0.7  # share of a cold node's budget that is used; the rest is for unequal set-up costs
 SUSPEND_MS = 1000.0  # ms; first suspension of a node that failed; doubles with each further failure
 SUSPEND_MAX_MS = 8000.0  # ms; longest suspension: a node is back in service seconds after it returns
 STRIKES = 2  # failures in a row, each of which may be the session's own fault, that suspend a node
-FULL = 0.97  # use of a pipe above which own sessions there are lowered
-SHED_TO = 0.88  # use of a pipe down to which they are lowered
+FULL = 1.0  # use of a pipe above which own sessions there are lowered
+SHED_TO = 0.93  # use of a pipe down to which they are lowered
 RAISE_TO = 0.8  # use of a pipe up to which playing sessions are raised: a gap to FULL, against flapping
 RAISE_AFTER_MS = 8000.0  # ms; room must have lasted so long: longer than news take to show a change
-RAISE_REPAYS = 2.0  # a raise must gain so many times what the change costs
+RAISE_REPAYS = 4.0  # a raise must gain so many times what the change costs
 LEFT_S = 20.0  # s; expected rest of a session without a hint
 LEFT_LEAST_S = 4.0  # s; least expected rest of a session whose hint has run out
 SHORT = 0.98  # share delivered under which sessions lose worth, and nodes tell of it
