--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -16,7 +16,7 @@
 from foxlift import interface as fl
 
 # ---- Constants --------------------------------------------------------------------------------------------
-MARK = 0.9  # share of a link; the rest is left for true rates above the ladder and other directors' set-ups
+MARK = 0.95  # share of a link; the rest is left for true rates above the ladder and other directors' set-ups
 BEAT_MS = 50.0  # ms; how often held requests are looked at again
 MARK_FALLS = 0.2  # how far the mark for the highest rung lies under that for the lowest
 HOLD_MS = 400.0  # ms; longest hold of a request that fits nowhere: a set-up must still make the wanted time
