--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -29,6 +29,8 @@
 SHED_TO = 0.93  # use of a pipe down to which they are lowered
 RAISE_TO = 0.8  # use of a pipe up to which playing sessions are raised: a gap to FULL, against flapping
 RAISE_AFTER_MS = 8000.0  # ms; room must have lasted so long: longer than news take to show a change
+RAISE_EVERY_MS = 2000.0  # ms; between two rounds of raises in a rack, so that news can show the first
+RAISE_PART = 0.5  # part of a rack's room that all directors together raise into in one round
 RAISE_REPAYS = 4.0  # a raise must gain so many times what the change costs
 LEFT_S = 20.0  # s; expected rest of a session without a hint
 LEFT_LEAST_S = 4.0  # s; least expected rest of a session whose hint has run out
@@ -514,26 +516,39 @@
         pipe.shed_at = pipe.strained_at = self.now
         sessions = self._sessions_on(pipe)
         cut = pipe.own_kb * (1 - SHED_TO / use)
-        while cut > 0 and (session := self._cheapest_down(sessions)) is not None:
-            cut -= self._step_down(session)[0]
+        while (session := self._cheapest_down(sessions)) is not None:
+            saved = self._step_down(session)[0]
+            if cut < saved / 2:
+                break
+            cut -= saved
             self._set_rung(session, session.rung - 1)
 
     def _raise(self) -> None:
-        """Raises sessions where room has lasted and the gain repays the change; leaves others their part."""
-        for node in self.nodes.values():
-            link, rack = node.link, node.rack
-            strained_at = max(link.strained_at, rack.strained_at)
-            if self.now - strained_at < RAISE_AFTER_MS or link.moment <= link.raised_at:
+        """Raises sessions where room has lasted and the gain repays the change, a little at a time.
+
+        Each round takes a small part of a rack's room: the other directors see the same room.
+        """
+        for rack in self.racks.values():
+            since = max(rack.strained_at + RAISE_AFTER_MS, rack.raised_at + RAISE_EVERY_MS)
+            if self.now < since:
                 continue
-            room = self._room(node, RAISE_TO) / self.settings.directors
-            for session in sorted(node.sessions.values(), key=lambda s: (s.rung, s.ask.session)):
-                top = min(session.ask.best_rung, self._class(session.ask).top)
-                if session.state is _State.PLAYING and session.rung < top:
-                    added, gain = self._step_up(session)
-                    if added <= room and gain > 0:
-                        room -= added
-                        link.raised_at = self.now
-                        self._set_rung(session, session.rung + 1)
+            part = RAISE_PART / self.settings.directors
+            rack_room = part * (RAISE_TO - self._rack_use(rack)) * rack.kb if rack.kb < math.inf else math.inf
+            ups = [(self._step_up(s), s) for s in self._sessions_on(rack) if self._may_rise(s)]
+            for (added, gain), session in sorted(ups, key=lambda up: (-up[0][1], up[1].ask.session)):
+                node = session.node
+                if node is None or gain <= 0 or added > rack_room or node.link.moment <= node.link.raised_at:
+                    continue
+                if added <= (RAISE_TO - self._link_use(node)) * node.link.kb / self.settings.directors:
+                    rack_room -= added
+                    rack.raised_at = node.link.raised_at = self.now
+                    self._set_rung(session, session.rung + 1)
+
+    def _may_rise(self, session: _Session) -> bool:
+        top = min(session.ask.best_rung, self._class(session.ask).top)
+        if session.state is not _State.PLAYING or session.rung >= top or session.node is None:
+            return False
+        return self.now - session.node.link.strained_at >= RAISE_AFTER_MS
 
     # ---- Guards -------------------------------------------------------------------------------------------
     def _list(self, event: fl.NodeList) -> None:
