--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -40,6 +40,7 @@
 RECOVER_MS = 10000.0  # ms; time in which an uplink that was found weak is believed to be as told again
 LEAN = 1.5  # how much more than an even part of the sessions on a node another director may have
 SHORT_LASTS_MS = 2500.0  # ms; notes of short delivery come each second; without more it is over
+AGREE_MS = 1500.0  # ms; two nodes of a rack that fall short within this time share a cause
 LINK_EXPLAINS = 0.9  # asked of the link times share delivered: about 1 where the link is what is short
 UNHEARD = 0.6  # use of a link while nothing at all has been heard: a fresh director starts at middling rungs
 REPORT_AGE_MS = 400.0  # ms; typical age of a report in an answer, refreshed now and then and sent late
@@ -112,6 +113,8 @@
     strikes: int = 0
     suspensions: int = 0
     suspended_until: float = 0.0
+    share: float = 1.0  # last told share delivered, and when
+    share_at: float = -1e18
     cold_sends: deque[float] = field(default_factory=deque)
 
 
@@ -210,17 +213,23 @@
     def _delivered(self, node: _Node, share: float, moment: float) -> None:
         """A short delivery marks the pipe that explains it as full; the note after it clears both.
 
-        A node's link explains it where the link is known to be about as full; otherwise it is the uplink,
-        and the share tells what the uplink really gives.
+        The uplink explains it where another node of the rack falls short too and the link is not known to be
+        full; then the better share of the two tells what the uplink really gives. A node that alone falls
+        short has lost its link, whatever its last report said: one bad link must not close its whole rack.
         """
         link, rack = node.link, node.rack
+        node.share, node.share_at = share, self.now
         if share >= SHORT:
             link.short_until = rack.short_until = self.now
             return
-        use = 1 / max(share, LEAST_SHARE)
+        peers = [n for n in self.nodes.values() if n.rack is rack and n is not node and n.sessions]
+        also = [n.share for n in peers if n.share < SHORT and self.now - n.share_at < AGREE_MS]
         known = link.heard_use()
-        pipe = link if rack.kb == math.inf or known is None or known * share > LINK_EXPLAINS else rack
+        pipe = link
+        if rack.kb < math.inf and (also or not peers) and (known is None or known * share < LINK_EXPLAINS):
+            pipe, share = rack, max([share, *also])
         pipe.short_until = self.now + SHORT_LASTS_MS
+        use = 1 / max(share, LEAST_SHARE)
         if pipe is link or rack.use is not None:
             pipe.tell(use, moment)
         elif moment > rack.shed_at + SETTLE_MS:
