The mark falls with the worth that a step earns for its rate, classes included

Cause: under overload cheap classes and high rungs filled links that dearer sessions then lacked. Could hurt where the worst class is scored high: the cheap class is refused first.

--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -18,7 +18,7 @@
 # ---- Constants --------------------------------------------------------------------------------------------
 MARK = 0.95  # share of a link; the rest is left for true rates above the ladder and other directors' set-ups
 BEAT_MS = 50.0  # ms; how often held requests are looked at again
-MARK_FALLS = 0.2  # how far the mark for the highest rung lies under that for the lowest
+MARK_FALLS = 0.08  # by how much the mark falls for each halving of the worth earned for each kB a second
 HOLD_MS = 400.0  # ms; longest hold of a request that fits nowhere: a set-up must still make the wanted time
 TRY_PART = 0.6  # share of the wanted time that a repeatable set-up may take before the next holder is tried
 COLD_PART = 0.7  # share of a cold node's budget that is used; the rest is for unequal set-up costs
@@ -139,6 +139,7 @@
     def __init__(self, settings: fl.Settings, seed: int) -> None:
         self.settings = settings
         self.seed = seed
+        self.best_yield = max(self._yield(klass, klass.floor) for klass in settings.classes)
         self.nodes: dict[int, _Node] = {}
         self.racks: dict[int, _Pipe] = {}
         self.sessions: dict[int, _Session] = {}
@@ -317,17 +318,25 @@
         return self.settings.ladder_kb[rung] * self._class(ask).rate_scale
 
     def _rung(self, node: _Node, ask: fl.Ask) -> int | None:
-        """The highest rung that keeps the estimated use under the mark, which is lower for higher rungs.
+        """The highest rung that keeps the estimated use under the mark.
 
-        The lower marks leave room for the sessions that follow; without them the first take it all.
+        Steps of the ladder that earn less for their rate keep to a lower mark: they leave room for what
+        follows and earns more. Without that the first sessions take it all.
         """
         klass = self._class(ask)
         for rung in range(min(ask.best_rung, klass.top), klass.floor - 1, -1):
-            part = (rung - klass.floor) / max(len(self.settings.ladder_kb) - 1, 1)
-            if self._kb(ask, rung) <= self._room(node, MARK - MARK_FALLS * part):
+            falls = MARK_FALLS * math.log2(self.best_yield / max(self._yield(klass, rung), 1e-9))
+            if self._kb(ask, rung) <= self._room(node, MARK - falls):
                 return rung
         return None
 
+    def _yield(self, klass: fl.SessionClass, rung: int) -> float:
+        """Worth of the last step to this rung for each kB a second; of the better of the two lowest steps."""
+        kb, worth = self.settings.ladder_kb, self.settings.ladder_worth
+        first = worth[0] / kb[0]
+        steps = [first] + [(worth[k] - worth[k - 1]) / (kb[k] - kb[k - 1]) for k in range(1, len(kb))]
+        return klass.worth * (max(steps[:2]) if rung <= klass.floor else steps[rung]) / klass.rate_scale
+
     # ---- Request life -------------------------------------------------------------------------------------
     def _take(self, ask: fl.Ask) -> None:
         session = _Session(ask, self.now, self.now + ask.ttl_ms)
