--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -29,6 +29,7 @@
 SHED_TO = 0.97  # use of a pipe down to which they are lowered
 RAISE_TO = 0.8  # use of a pipe up to which playing sessions are raised: a gap to FULL, against flapping
 RAISE_AFTER_MS = 8000.0  # ms; room must have lasted so long: longer than news take to show a change
+RAISE_FIRST_MS = 4000.0  # ms; the same for a pipe just come to know: time to hear of it
 RAISE_EVERY_MS = 2000.0  # ms; between two rounds of raises in a rack, so that news can show the first
 RAISE_PART = 0.5  # part of a rack's room that all directors together raise into in one round
 RAISE_REPAYS = 4.0  # a raise must gain so many times what the change costs
@@ -119,7 +120,7 @@
 
 
 def _pipe(kb: float, now: float) -> _Pipe:
-    return _Pipe(kb, kb, strained_at=now)
+    return _Pipe(kb, kb, strained_at=now - RAISE_AFTER_MS + RAISE_FIRST_MS)
 
 
 def _mix(*numbers: int) -> int:
