--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -27,7 +27,7 @@
 STRIKES = 2  # failures in a row, each of which may be the session's own fault, that suspend a node
 FULL = 1.03  # use of a pipe above which own sessions there are lowered
 SHED_TO = 0.97  # use of a pipe down to which they are lowered
-RAISE_TO = 0.8  # use of a pipe up to which playing sessions are raised: a gap to FULL, against flapping
+RAISE_GAP = 0.05  # how far under the mark for new sessions playing ones are raised: a gap, against flapping
 RAISE_AFTER_MS = 8000.0  # ms; room must have lasted so long: longer than news take to show a change
 RAISE_FIRST_MS = 4000.0  # ms; the same for a pipe just come to know: time to hear of it
 RAISE_EVERY_MS = 2000.0  # ms; between two rounds of raises in a rack, so that news can show the first
@@ -326,11 +326,13 @@
         """
         klass = self._class(ask)
         for rung in range(min(ask.best_rung, klass.top), klass.floor - 1, -1):
-            falls = MARK_FALLS * math.log2(self.best_yield / max(self._yield(klass, rung), 1e-9))
-            if self._kb(ask, rung) <= self._room(node, MARK - falls):
+            if self._kb(ask, rung) <= self._room(node, self._mark(klass, rung)):
                 return rung
         return None
 
+    def _mark(self, klass: fl.SessionClass, rung: int) -> float:
+        return MARK - MARK_FALLS * math.log2(self.best_yield / max(self._yield(klass, rung), 1e-9))
+
     def _yield(self, klass: fl.SessionClass, rung: int) -> float:
         """Worth of the last step to this rung for each kB a second; of the better of the two lowest steps."""
         kb, worth = self.settings.ladder_kb, self.settings.ladder_worth
@@ -554,14 +556,17 @@
             if self.now < since:
                 continue
             part = RAISE_PART / self.settings.directors
-            rack_room = part * (RAISE_TO - self._rack_use(rack)) * rack.kb if rack.kb < math.inf else math.inf
+            asked = self._rack_use(rack) * rack.kb if rack.kb < math.inf else 0.0
+            taken = 0.0
             ups = [(self._step_up(s), s) for s in self._sessions_on(rack) if self._may_rise(s)]
             for (added, gain), session in sorted(ups, key=lambda up: (-up[0][1], up[1].ask.session)):
                 node = session.node
-                if node is None or gain <= 0 or added > rack_room or node.link.moment <= node.link.raised_at:
+                if node is None or gain <= 0 or node.link.moment <= node.link.raised_at:
                     continue
-                if added <= (RAISE_TO - self._link_use(node)) * node.link.kb / self.settings.directors:
-                    rack_room -= added
+                mark = self._mark(self._class(session.ask), session.rung + 1) - RAISE_GAP
+                link_room = (mark - self._link_use(node)) * node.link.kb / self.settings.directors
+                if added <= link_room and taken + added <= part * (mark * rack.kb - asked):
+                    taken += added
                     rack.raised_at = node.link.raised_at = self.now
                     self._set_rung(session, session.rung + 1)
 
