Health guard folded: one for dead, cut off, hung and slow nodes; falls back when all holders are suspended

Should also catch black holes and hung processes. Could hurt where many set-ups are slow at once: the fall-back keeps them in use.

--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -296,7 +296,10 @@
         return (node.setting_up * set_up_kb + sum(playing)) / node.link.kb
 
     def _holders(self, session: _Session) -> Iterator[_Node]:
-        """The title's holders that may be sent a set-up now, least work first."""
+        """The title's holders that may be sent a set-up now, least work first.
+
+        Where every holder is suspended, those not tried just now are better than none.
+        """
         ask, cells = session.ask, self.settings.cells
         found = [
             node
@@ -304,12 +307,15 @@
             if (node.info.cell - ask.first_cell) % cells < ask.holders
             and node.info.status is fl.Status.READY
             and node.info.node not in session.tried
-            and self._healthy(node)
+            and (node.suspensions == 0 or node.setting_up == 0)
             and self._warm_enough(node)
         ]
+        usable = [node for node in found if self.now >= node.suspended_until] or found
         tie = _mix(self.settings.director, ask.session)
-        found.sort(key=lambda node: (self._work(node), _mix(tie, node.info.node)))
-        return iter(found)
+        once = self._class(ask).repeat is not fl.Repeat.FREE
+        # a set-up that cannot be repeated is no trial for a node that has just failed
+        usable.sort(key=lambda n: (once and n.suspensions > 0, self._work(n), _mix(tie, n.info.node)))
+        return iter(usable)
 
     # ---- Rung ---------------------------------------------------------------------------------------------
     def _class(self, ask: fl.Ask) -> fl.SessionClass:
@@ -620,19 +626,20 @@
         turn = int(age // gap) % s.directors == s.director % s.directors
         return turn and (not node.cold_sends or self.now - node.cold_sends[-1] >= gap)
 
-    def _healthy(self, node: _Node) -> bool:
-        if node.suspensions == 0:
-            return True
-        return self.now >= node.suspended_until and node.setting_up == 0
-
     def _judge(self, node: _Node, outcome: fl.Outcome, was_playing: bool) -> None:
-        lost = outcome in (fl.Outcome.RESET, fl.Outcome.CONNECT_FAILED)
-        if lost or (outcome in (fl.Outcome.ERROR, fl.Outcome.TIMEOUT) and not was_playing):
-            node.strikes += STRIKES if lost else 1
-            if node.strikes >= STRIKES and self.now >= node.suspended_until:
-                pause = min(SUSPEND_MS * 2**node.suspensions, SUSPEND_MAX_MS)
-                node.suspensions += 1
-                node.suspended_until = self.now + pause
+        """Suspends a node that breaks, cannot be reached or does not start what it was sent.
+
+        One guard for every way to be sick: dead, cut off, hung, slow. One error may be the session's own.
+        """
+        if outcome is fl.Outcome.ERROR and not was_playing:
+            node.strikes += 1
+        elif outcome in (fl.Outcome.RESET, fl.Outcome.CONNECT_FAILED, fl.Outcome.TIMEOUT):
+            node.strikes += STRIKES
+        else:
+            return
+        if node.strikes >= STRIKES and self.now >= node.suspended_until:
+            node.suspended_until = self.now + min(SUSPEND_MS * 2**node.suspensions, SUSPEND_MAX_MS)
+            node.suspensions += 1
 
     def _well(self, node: _Node) -> None:
         if node.suspensions:
