--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -41,6 +41,7 @@
 RECOVER_MS = 10000.0  # ms; time in which an uplink that was found weak is believed to be as told again
 LEAN = 1.5  # how much more than an even part of the sessions on a node another director may have
 SHORT_LASTS_MS = 2500.0  # ms; notes of short delivery come each second; without more it is over
+AGREE = 0.15  # shares delivered that differ by less may have one cause: an uplink gives all the same
 AGREE_MS = 1500.0  # ms; two nodes of a rack that fall short within this time share a cause
 LINK_EXPLAINS = 0.9  # asked of the link times share delivered: about 1 where the link is what is short
 UNHEARD = 0.6  # use of a link while nothing at all has been heard: a fresh director starts at middling rungs
@@ -225,7 +226,8 @@
             link.short_until = rack.short_until = self.now
             return
         peers = [n for n in self.nodes.values() if n.rack is rack and n is not node and n.sessions]
-        also = [n.share for n in peers if n.share < SHORT and self.now - n.share_at < AGREE_MS]
+        late = [n.share for n in peers if n.share < SHORT and self.now - n.share_at < AGREE_MS]
+        also = [other for other in late if abs(other - share) < AGREE]
         known = link.heard_use()
         pipe = link
         if rack.kb < math.inf and (also or not peers) and (known is None or known * share < LINK_EXPLAINS):
--- a/tests/test_quality.py
+++ b/tests/test_quality.py
@@ -80,6 +80,18 @@
     assert [a.node for a in sent] == [peer]
 
 
+def test_two_nodes_short_by_unlike_shares_do_not_close_their_rack() -> None:
+    made = director(nodes=8, uplink_kb=12000.0)
+    placed = {k: play(made, 1.0, ask(k, best_rung=0))[0] for k in range(16)}
+    for k, node in placed.items():
+        tell(made, 1000.0, k, node, fl.NoteKind.LINK, 0.2)
+    sessions = {node: k for k, node in placed.items()}
+    tell(made, 3000.0, sessions[0], 0, fl.NoteKind.DELIVERED, 0.2)
+    tell(made, 3100.0, sessions[2], 2, fl.NoteKind.DELIVERED, 0.7)
+    sent = [only(made.handle(3101.0, ask(k, first_cell=0, holders=1)), fl.SetUp) for k in range(90, 93)]
+    assert [a.node for actions in sent for a in actions] == [4, 4, 4]
+
+
 def test_a_link_taken_by_another_program_does_not_make_its_uplink_look_full() -> None:
     made = director(nodes=4, uplink_kb=3900.0)
     placed = {k: play(made, 1.0, ask(k, best_rung=0))[0] for k in range(8)}
