--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -24,6 +24,7 @@
 COLD_PART = 0.7  # share of a cold node's budget that is used; the rest is for unequal set-up costs
 SUSPEND_MS = 1000.0  # ms; first suspension of a node that failed; doubles with each further failure
 SUSPEND_MAX_MS = 8000.0  # ms; longest suspension: a node is back in service seconds after it returns
+ASK_LIST_MS = 1000.0  # ms; wait before asking a list service that failed again, so as not to add to its load
 STRIKES = 2  # failures in a row, each of which may be the session's own fault, that suspend a node
 FULL = 1.03  # use of a pipe above which own sessions there are lowered
 SHED_TO = 0.97  # use of a pipe down to which they are lowered
@@ -64,6 +65,7 @@
     answered: bool = False
     may_have_run: bool = False
     attempts: int = 0
+    sent_at: float = 0.0
     node: _Node | None = None
     rung: int = 0
     kb: float = 0.0
@@ -150,6 +152,7 @@
         self.asks: deque[float] = deque()
         self.extras: deque[float] = deque()
         self.started_at: float | None = None
+        self.ask_list_at = math.inf  # when to subscribe to the node list, where it must be asked for
         self.now = 0.0
         self.out: list[fl.Action] = []
 
@@ -159,6 +162,10 @@
         if self.started_at is None:
             self.started_at = now
             self.out.append(fl.SetTimer(BEAT_MS, 0))
+            self.ask_list_at = now if self.settings.list_by_ask else math.inf
+        if now >= self.ask_list_at:
+            self.ask_list_at = math.inf
+            self.out.append(fl.WatchList(True))
         match event:
             case fl.Ask():
                 self._take(event)
@@ -351,7 +358,9 @@
     # ---- Request life -------------------------------------------------------------------------------------
     def _take(self, ask: fl.Ask) -> None:
         session = _Session(ask, self.now, self.now + ask.ttl_ms)
-        self.asks.append(self.now)
+        if self.settings.extra_span_ms > 0:
+            self.asks.append(self.now)
+            self._trim_budget()
         self.sessions[ask.session] = session
         if not self._place(session):
             self._hold(session)
@@ -369,7 +378,8 @@
 
     def _send(self, session: _Session, node: _Node, rung: int) -> None:
         self.held.pop(session.ask.session, None)
-        if session.attempts:
+        session.sent_at = self.now
+        if session.attempts and self.settings.extra_span_ms > 0:
             self.extras.append(self.now)
         left = session.deadline - self.now
         klass = self._class(session.ask)
@@ -441,13 +451,14 @@
         if session is None or session.node is None or session.attempts - 1 != event.attempt:
             return
         was_playing = session.state is _State.PLAYING
+        same_process = session.node is node
         self._leave(session)
-        if node is not None:
+        if node is not None and same_process:
             self._judge(node, event.outcome, was_playing)
         if event.outcome is fl.Outcome.FULL and node is not None:
             node.link.tell(max(1.0, self.settings.node_full_from, node.link.use or 0.0), self.now)
-        if event.outcome is fl.Outcome.NEVER_SENT and self.extras and session.attempts > 1:
-            self.extras.pop()
+        if event.outcome is fl.Outcome.NEVER_SENT and session.attempts > 1 and session.sent_at in self.extras:
+            self.extras.remove(session.sent_at)
         session.may_have_run |= not event.outcome.proves_unrun
         if event.final or session.answered:
             self.sessions.pop(event.session, None)
@@ -587,6 +598,8 @@
     # ---- Guards -------------------------------------------------------------------------------------------
     def _list(self, event: fl.NodeList) -> None:
         if event.kind is fl.ListKind.FAILED:
+            if self.settings.list_by_ask:
+                self.ask_list_at = self.now + ASK_LIST_MS
             return
         named = {info.node for info in event.nodes}
         for info in event.nodes:
@@ -660,11 +673,13 @@
         else:
             self.seats.pop(seat, None)
 
-    def _budget_allows(self) -> bool:
-        s = self.settings
+    def _trim_budget(self) -> None:
         for log in (self.asks, self.extras):
-            while log and log[0] <= self.now - s.extra_span_ms:
+            while log and log[0] <= self.now - self.settings.extra_span_ms:
                 log.popleft()
-        if s.extra_span_ms <= 0:
-            return True
-        return len(self.extras) + 1 <= s.extra_free + s.extra_ratio * len(self.asks)
+
+    def _budget_allows(self) -> bool:
+        """Whether one attempt more keeps the stated budget of attempts beyond each session's first."""
+        s = self.settings
+        self._trim_budget()
+        return s.extra_span_ms <= 0 or len(self.extras) + 1 <= s.extra_free + s.extra_ratio * len(self.asks)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -140,6 +140,33 @@
     assert made.sessions == {}
 
 
+def test_a_list_that_must_be_asked_for_is_subscribed_to_and_asked_again_after_a_failure() -> None:
+    made = Director(replace(SETTINGS, list_by_ask=True), seed=1)
+    cached = fl.NodeList(fl.ListKind.CACHED, (info(0),))
+    assert only(made.handle(0.0, cached), fl.WatchList) == [fl.WatchList(True)]
+    made.handle(500.0, fl.NodeList(fl.ListKind.FAILED))
+    asked = [at for at, a in wake_until(made, 500.0, 4000.0) if isinstance(a, fl.WatchList)]
+    assert asked == [1500.0]
+    assert [a for a in director().handle(1.0, ask(1)) if isinstance(a, fl.WatchList)] == []
+
+
+def test_an_attempt_never_sent_leaves_the_budget() -> None:
+    made = director(extra_free=1.0, extra_ratio=0.0, extra_span_ms=1000.0)
+    first = sent_node(made.handle(1.0, ask(1)))
+    second = sent_node(made.handle(2.0, ended(1, first, 0, fl.Outcome.FULL)))
+    assert sent_node(made.handle(3.0, ended(1, second, 1, fl.Outcome.NEVER_SENT))) not in (first, second)
+
+
+def test_what_an_old_process_ends_is_not_held_against_its_successor() -> None:
+    made = director(nodes=1)
+    sent_node(made.handle(1.0, ask(1)))
+    made.handle(2.0, fl.Started(1, 0, 0, 1.0))
+    made.handle(3.0, delta(info(0, fl.Status.GONE)))
+    made.handle(4.0, delta(info(0)))
+    made.handle(5.0, ended(1, 0, 0, fl.Outcome.RESET, final=True))
+    assert sent_node(made.handle(6.0, ask(2))) == 0
+
+
 class Checker:
     """Counts what one director does against the six rules; knows nothing of how it decides."""
 
