--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -19,7 +19,7 @@
 MARK = 0.95  # share of a link; the rest is left for true rates above the ladder and other directors' set-ups
 BEAT_MS = 50.0  # ms; how often held requests are looked at again
 MARK_FALLS = 0.08  # by how much the mark falls for each halving of the worth earned for each kB a second
-HOLD_MS = 400.0  # ms; longest hold of a request that fits nowhere: a set-up must still make the wanted time
+HOLD_PART = 0.4  # share of the wanted time for which a request is held: its set-up must still fit in
 TRY_PART = 0.6  # share of the wanted time that a repeatable set-up may take before the next holder is tried
 COLD_PART = 0.7  # share of a cold node's budget that is used; the rest is for unequal set-up costs
 SUSPEND_MS = 1000.0  # ms; first suspension of a node that failed; doubles with each further failure
@@ -417,7 +417,8 @@
             self.held[session.ask.session] = session
 
     def _hold_ends(self, session: _Session) -> float:
-        return min(session.asked_at + HOLD_MS, session.deadline - 2 * BEAT_MS)
+        hold_ms = HOLD_PART * self._class(session.ask).wanted_ms
+        return min(session.asked_at + hold_ms, session.deadline - 2 * BEAT_MS)
 
     def _give_up(self, session: _Session) -> None:
         """The final answer, at once: refused where nothing can have run, failed otherwise."""
