--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -142,7 +142,7 @@
 
     def __init__(self, settings: fl.Settings, seed: int) -> None:
         self.settings = settings
-        self.seed = seed
+        del seed  # for embedders' sake: nothing here is left to chance
         self.best_yield = max(self._yield(klass, klass.floor) for klass in settings.classes)
         self.nodes: dict[int, _Node] = {}
         self.racks: dict[int, _Pipe] = {}
@@ -202,7 +202,7 @@
     def _note(self, note: fl.Note) -> None:
         session = self.sessions.get(note.session)
         node = self.nodes.get(note.node)
-        if note.kind is fl.NoteKind.RUNG and session is not None:
+        if note.kind is fl.NoteKind.RUNG and session is not None and session.node is not None:
             self._count(session, int(note.value))
         if node is None or session is None:
             return
@@ -369,6 +369,8 @@
         klass = self._class(session.ask)
         if session.ask.best_rung < klass.floor or not self._seat_free(session.ask):
             return False
+        if session.attempts and not self._may_try_again(session):
+            return False  # also after a hold: others may have spent the budget of attempts meanwhile
         for node in self._holders(session):
             rung = self._rung(node, session.ask)
             if rung is not None:
@@ -469,6 +471,7 @@
             self._hold(session)
 
     def _may_try_again(self, session: _Session) -> bool:
+        """Whether one more attempt is safe, worth it and allowed; a stated window is not relied on."""
         if session.may_have_run and self._class(session.ask).repeat is not fl.Repeat.FREE:
             return False
         return (
@@ -628,9 +631,13 @@
         if info.started_ms > 0:
             node.cold_since = max(node.cold_since, info.started_ms)
 
-
     def _warm_enough(self, node: _Node) -> bool:
-        """Keeps this director's set-ups to a cold node within its own part of the node's budget."""
+        """Keeps this director's set-ups to a cold node within its own part of the node's budget.
+
+        Directors take turns counted from the node's start, so that none needs to hear of another. Nodes of
+        a cached list count as cold, which also keeps a restarted director from flooding the first it sees.
+        Costs room where a node was warm after all.
+        """
         s = self.settings
         age = self.now - node.cold_since
         while node.cold_sends and node.cold_sends[0] < self.now - s.warm_up_ms:
@@ -646,6 +653,7 @@
         """Suspends a node that breaks, cannot be reached or does not start what it was sent.
 
         One guard for every way to be sick: dead, cut off, hung, slow. One error may be the session's own.
+        Hurts where many set-ups are slow at once; where all holders are suspended they are used all the same.
         """
         if outcome is fl.Outcome.ERROR and not was_playing:
             node.strikes += 1
@@ -658,6 +666,7 @@
             node.suspensions += 1
 
     def _well(self, node: _Node) -> None:
+        """A set-up has started: the node is trusted again, at a cold node's pace if it was suspended."""
         if node.suspensions:
             node.cold_since = max(node.cold_since, self.now)  # it may have restarted since
         node.strikes = node.suspensions = 0
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -150,6 +150,17 @@
     assert [a for a in director().handle(1.0, ask(1)) if isinstance(a, fl.WatchList)] == []
 
 
+def test_a_held_request_is_not_sent_again_from_a_spent_budget() -> None:
+    made = director(nodes=3, extra_free=1.0, extra_ratio=0.0, extra_span_ms=5000.0)
+    first = sent_node(made.handle(1.0, ask(1, first_cell=0, holders=1)))
+    assert only(made.handle(2.0, ended(1, first, 0, fl.Outcome.FULL)), fl.SetUp) == []
+    second = sent_node(made.handle(3.0, ask(2)))
+    assert sent_node(made.handle(4.0, ended(2, second, 0, fl.Outcome.ERROR))) != second
+    made.handle(5.0, delta(replace(info(9), cell=0)))
+    later = [a for _, a in wake_until(made, 5.0, 1000.0)]
+    assert only(later, fl.SetUp) == [] and only(later, fl.Refuse) == [fl.Refuse(1, 500.0)]
+
+
 def test_an_attempt_never_sent_leaves_the_budget() -> None:
     made = director(extra_free=1.0, extra_ratio=0.0, extra_span_ms=1000.0)
     first = sent_node(made.handle(1.0, ask(1)))
