--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -46,6 +46,7 @@
 AGREE_MS = 1500.0  # ms; two nodes of a rack that fall short within this time share a cause
 LINK_EXPLAINS = 0.9  # asked of the link times share delivered: about 1 where the link is what is short
 UNHEARD = 0.6  # use of a link while nothing at all has been heard: a fresh director starts at middling rungs
+USUAL_OF = 20  # pieces of news over which the usual use of a link is averaged: some seconds' worth
 REPORT_AGE_MS = 400.0  # ms; typical age of a report in an answer, refreshed now and then and sent late
 LOGGED = 200  # own changes kept between two pieces of news on a pipe
 
@@ -87,9 +88,12 @@
     strained_at: float = -1e18  # when it was last seen too full
     raised_at: float = -1e18
     learned_at: float = 0.0
+    changed_kb: float = 0.0  # sum of the changes since the last news
+    nodes: list[_Node] = field(default_factory=list)  # what it carries
 
     def book(self, now: float, kb: float) -> None:
         self.own_kb += kb
+        self.changed_kb += kb
         self.changes.append((now, kb))
 
     def tell(self, use: float, moment: float) -> None:
@@ -98,12 +102,13 @@
             self.use, self.moment = use, moment
             while self.changes and self.changes[0][0] <= moment:
                 self.changes.popleft()
+            self.changed_kb = sum(kb for _, kb in self.changes)
 
     def heard_use(self) -> float | None:
         """Last news, corrected by this director's own starts, ends and rung changes since their moment."""
         if self.use is None:
             return None
-        return max(self.use + sum(kb for _, kb in self.changes) / self.kb, self.own_kb / self.kb)
+        return max(self.use + self.changed_kb / self.kb, self.own_kb / self.kb)
 
 
 @dataclass(slots=True)
@@ -113,6 +118,7 @@
     rack: _Pipe
     sessions: dict[int, _Session] = field(default_factory=dict)
     setting_up: int = 0
+    playing_kb: float = 0.0
     cold_since: float = -1e18
     strikes: int = 0
     suspensions: int = 0
@@ -145,24 +151,25 @@
         del seed  # for embedders' sake: nothing here is left to chance
         self.best_yield = max(self._yield(klass, klass.floor) for klass in settings.classes)
         self.nodes: dict[int, _Node] = {}
+        self.cells: dict[int, list[_Node]] = {}
         self.racks: dict[int, _Pipe] = {}
         self.sessions: dict[int, _Session] = {}
         self.held: dict[int, _Session] = {}
         self.seats: dict[tuple[int, int], int] = {}
         self.asks: deque[float] = deque()
         self.extras: deque[float] = deque()
-        self.started_at: float | None = None
-        self.ask_list_at = math.inf  # when to subscribe to the node list, where it must be asked for
+        self.playing = 0  # own sessions that play, and their rates
+        self.playing_kb = 0.0
+        self.usual_use = UNHEARD  # of a link: a mean of the latest news, of whichever link
+        self.news = 1
+        self.beating = False  # whether a timer for held requests is out
+        self.ask_list_at = -math.inf if settings.list_by_ask else math.inf  # when to ask for the node list
         self.now = 0.0
         self.out: list[fl.Action] = []
 
     def handle(self, now: float, event: fl.Event) -> list[fl.Action]:
         """Take one event in; give back the actions in the order in which they are to be carried out."""
         self.now, self.out = now, []
-        if self.started_at is None:
-            self.started_at = now
-            self.out.append(fl.SetTimer(BEAT_MS, 0))
-            self.ask_list_at = now if self.settings.list_by_ask else math.inf
         if now >= self.ask_list_at:
             self.ask_list_at = math.inf
             self.out.append(fl.WatchList(True))
@@ -176,7 +183,6 @@
             case fl.Note():
                 self._note(event)
             case fl.Wake():
-                self.out.append(fl.SetTimer(BEAT_MS, 0))
                 self._beat()
             case fl.NodeList():
                 self._list(event)
@@ -197,7 +203,15 @@
         for pipe, value in ((node.link, use), (node.rack, load.uplink)):
             if value is not None:
                 expected = pipe.heard_use()
-                pipe.tell(value if expected is None else (value + expected) / 2, self.now - REPORT_AGE_MS)
+                value = value if expected is None else (value + expected) / 2
+                self._tell(pipe, value, self.now - REPORT_AGE_MS)
+        self._raise(node.rack)
+
+    def _tell(self, pipe: _Pipe, use: float, moment: float) -> None:
+        pipe.tell(use, moment)
+        if pipe.nodes[0].link is pipe:
+            self.news = min(self.news + 1, USUAL_OF)
+            self.usual_use += (use - self.usual_use) / self.news
 
     def _note(self, note: fl.Note) -> None:
         session = self.sessions.get(note.session)
@@ -210,15 +224,16 @@
         if note.kind is fl.NoteKind.DELIVERED:
             self._delivered(node, note.value, moment)
         elif note.kind is fl.NoteKind.LINK:
-            node.link.tell(note.value, moment)
+            self._tell(node.link, note.value, moment)
         elif note.kind is fl.NoteKind.UPLINK:
-            node.rack.tell(note.value, moment)
+            self._tell(node.rack, note.value, moment)
         if note.kind is not fl.NoteKind.DELIVERED:
             self._recover(node.rack)
             for pipe in (node.link, node.rack):
                 use = pipe.heard_use()
                 if use is not None and moment > pipe.shed_at:
                     self._shed(pipe, use)
+            self._raise(node.rack)
 
     def _delivered(self, node: _Node, share: float, moment: float) -> None:
         """A short delivery marks the pipe that explains it as full; the note after it clears both.
@@ -232,7 +247,7 @@
         if share >= SHORT:
             link.short_until = rack.short_until = self.now
             return
-        peers = [n for n in self.nodes.values() if n.rack is rack and n is not node and n.sessions]
+        peers = [n for n in rack.nodes if n is not node and n.sessions]
         late = [n.share for n in peers if n.share < SHORT and self.now - n.share_at < AGREE_MS]
         also = [other for other in late if abs(other - share) < AGREE]
         known = link.heard_use()
@@ -242,7 +257,7 @@
         pipe.short_until = self.now + SHORT_LASTS_MS
         use = 1 / max(share, LEAST_SHARE)
         if pipe is link or rack.use is not None:
-            pipe.tell(use, moment)
+            self._tell(pipe, use, moment)
         elif moment > rack.shed_at + SETTLE_MS:
             rack.kb = min(rack.kb, max(share * self._rack_kb(rack), rack.own_kb * share))
             rack.learned_at = self.now
@@ -262,9 +277,7 @@
         use = node.link.heard_use()
         if use is not None:
             return use
-        heard = [other.link.use for other in self.nodes.values() if other.link.use is not None]
-        average = (sum(heard) + UNHEARD) / (len(heard) + 1)  # few heard nodes do not speak for all
-        return max(average, node.link.own_kb * self.settings.directors / node.link.kb)
+        return max(self.usual_use, node.link.own_kb * self.settings.directors / node.link.kb)
 
     def _rack_use(self, rack: _Pipe) -> float:
         """Estimated share of the uplink that is asked: heard, or summed over the rack's links."""
@@ -278,31 +291,29 @@
 
         A link that gives less than told seems to be asked for more; own sessions times directors bound that.
         """
-        nodes = [node for node in self.nodes.values() if node.rack is rack]
         total = 0.0
-        for node in nodes:
+        for node in rack.nodes:
             link = node.link
-            blind = UNHEARD * (min(link.kb, rack.told_kb / len(nodes)) if link.use is None else link.kb)
+            blind = UNHEARD * (min(link.kb, rack.told_kb / len(rack.nodes)) if link.use is None else link.kb)
             most = max(link.own_kb * self.settings.directors * LEAN, blind)
             total += max(min(self._link_use(node) * link.kb, most), link.own_kb)
         return total
 
-    def _room(self, node: _Node, mark: float = MARK) -> float:
-        """What may still be asked of node and rack, kB a second, under the mark; none while short."""
-        if max(node.link.short_until, node.rack.short_until) > self.now:
-            return 0.0
-        room = (mark - self._link_use(node)) * node.link.kb
-        if node.rack.kb < math.inf:
-            room = min(room, (mark - self._rack_use(node.rack)) * node.rack.kb)
-        return room
+    def _uses(self, node: _Node) -> Iterator[tuple[float, float]]:
+        """Estimated use and size of node's link and uplink; full while short."""
+        link, rack = node.link, node.rack
+        if max(link.short_until, rack.short_until) > self.now:
+            yield math.inf, 1.0
+            return
+        yield self._link_use(node), link.kb
+        if rack.kb < math.inf:
+            yield self._rack_use(rack), rack.kb
 
     # ---- Choice -------------------------------------------------------------------------------------------
     def _work(self, node: _Node) -> float:
         """Weighted work left at the node: set-ups in flight and playing rates, over its link."""
-        playing = [s.kb for s in node.sessions.values() if s.state is _State.PLAYING]
-        everywhere = [s.kb for s in self.sessions.values() if s.state is _State.PLAYING]
-        set_up_kb = sum(everywhere) / len(everywhere) if everywhere else self.settings.ladder_kb[0]
-        return (node.setting_up * set_up_kb + sum(playing)) / node.link.kb
+        set_up_kb = self.playing_kb / self.playing if self.playing else self.settings.ladder_kb[0]
+        return (node.setting_up * set_up_kb + node.playing_kb) / node.link.kb
 
     def _holders(self, session: _Session) -> Iterator[_Node]:
         """The title's holders that may be sent a set-up now, least work first.
@@ -312,9 +323,9 @@
         ask, cells = session.ask, self.settings.cells
         found = [
             node
-            for node in self.nodes.values()
-            if (node.info.cell - ask.first_cell) % cells < ask.holders
-            and node.info.status is fl.Status.READY
+            for k in range(min(ask.holders, cells))
+            for node in self.cells.get((ask.first_cell + k) % cells, ())
+            if node.info.status is fl.Status.READY
             and node.info.node not in session.tried
             and (node.suspensions == 0 or node.setting_up == 0)
             and self._warm_enough(node)
@@ -339,9 +350,10 @@
         Steps of the ladder that earn less for their rate keep to a lower mark: they leave room for what
         follows and earns more. Without that the first sessions take it all.
         """
-        klass = self._class(ask)
+        klass, uses = self._class(ask), list(self._uses(node))
         for rung in range(min(ask.best_rung, klass.top), klass.floor - 1, -1):
-            if self._kb(ask, rung) <= self._room(node, self._mark(klass, rung)):
+            mark, kb = self._mark(klass, rung), self._kb(ask, rung)
+            if all(kb <= (mark - use) * size for use, size in uses):
                 return rung
         return None
 
@@ -408,8 +420,17 @@
         if session.node is not None:
             session.node.link.book(self.now, kb - session.kb)
             session.node.rack.book(self.now, kb - session.kb)
+            if session.state is _State.PLAYING:
+                session.node.playing_kb += kb - session.kb
+                self.playing_kb += kb - session.kb
         session.kb = kb
 
+    def _plays(self, session: _Session, node: _Node, more: int) -> None:
+        """Count the session as playing at the node, or no longer."""
+        self.playing += more
+        self.playing_kb = self.playing_kb + more * session.kb if self.playing else 0.0
+        node.playing_kb += more * session.kb
+
     def _hold(self, session: _Session) -> None:
         """Keep the request for a brief while, or give it up at once where no hold can help."""
         if self._hold_ends(session) <= self.now:
@@ -417,6 +438,12 @@
         else:
             session.state = _State.HELD
             self.held[session.ask.session] = session
+            self._set_beat()
+
+    def _set_beat(self) -> None:
+        if self.held and not self.beating:
+            self.beating = True
+            self.out.append(fl.SetTimer(BEAT_MS, 0))
 
     def _hold_ends(self, session: _Session) -> float:
         hold_ms = HOLD_PART * self._class(session.ask).wanted_ms
@@ -434,10 +461,11 @@
             self.out.append(fl.Refuse(name, come_back))
 
     def _beat(self) -> None:
-        self._raise()
+        self.beating = False
         for session in list(self.held.values()):
             if not self._place(session) and self._hold_ends(session) <= self.now:
                 self._give_up(session)
+        self._set_beat()
 
     def _started(self, event: fl.Started) -> None:
         session = self.sessions.get(event.session)
@@ -445,6 +473,7 @@
             return
         session.state, session.answered = _State.PLAYING, True
         session.node.setting_up -= 1
+        self._plays(session, session.node, 1)
         self._well(session.node)
 
     def _ended(self, event: fl.Ended) -> None:
@@ -459,7 +488,7 @@
         if node is not None and same_process:
             self._judge(node, event.outcome, was_playing)
         if event.outcome is fl.Outcome.FULL and node is not None:
-            node.link.tell(max(1.0, self.settings.node_full_from, node.link.use or 0.0), self.now)
+            self._tell(node.link, max(1.0, self.settings.node_full_from, node.link.use or 0.0), self.now)
         if event.outcome is fl.Outcome.NEVER_SENT and session.attempts > 1 and session.sent_at in self.extras:
             self.extras.remove(session.sent_at)
         session.may_have_run |= not event.outcome.proves_unrun
@@ -488,6 +517,9 @@
         self._free_seat(session.ask)
         if session.state is _State.SETTING_UP:
             node.setting_up -= 1
+        elif session.state is _State.PLAYING:
+            self._plays(session, node, -1)
+            session.state = _State.HELD
         self._book(session, 0.0)
         node.sessions.pop(session.ask.session, None)
         session.node, session.state = None, _State.HELD
@@ -510,6 +542,7 @@
         node.sessions[event.ask.session] = session
         seat = (event.ask.title, event.ask.klass)
         self.seats[seat] = self.seats.get(seat, 0) + 1
+        self._plays(session, node, 1)
         self._count(session, self._class(event.ask).floor)
 
     # ---- Rung care while playing --------------------------------------------------------------------------
@@ -537,12 +570,7 @@
         return self.settings.rung_change_s / left
 
     def _sessions_on(self, pipe: _Pipe) -> list[_Session]:
-        return [
-            session
-            for node in self.nodes.values()
-            if node.link is pipe or node.rack is pipe
-            for session in node.sessions.values()
-        ]
+        return [session for node in pipe.nodes for session in node.sessions.values()]
 
     def _cheapest_down(self, sessions: list[_Session]) -> _Session | None:
         low = [s for s in sessions if s.rung > self._class(s.ask).floor]
@@ -569,29 +597,28 @@
             cut -= saved
             self._set_rung(session, session.rung - 1)
 
-    def _raise(self) -> None:
+    def _raise(self, rack: _Pipe) -> None:
         """Raises sessions where room has lasted and the gain repays the change, a little at a time.
 
         Each round takes a small part of a rack's room: the other directors see the same room.
         """
-        for rack in self.racks.values():
-            since = max(rack.strained_at + RAISE_AFTER_MS, rack.raised_at + RAISE_EVERY_MS)
-            if self.now < since:
+        since = max(rack.strained_at + RAISE_AFTER_MS, rack.raised_at + RAISE_EVERY_MS)
+        if self.now < since:
+            return
+        part = RAISE_PART / self.settings.directors
+        asked = self._rack_use(rack) * rack.kb if rack.kb < math.inf else 0.0
+        taken = 0.0
+        ups = [(self._step_up(s), s) for s in self._sessions_on(rack) if self._may_rise(s)]
+        for (added, gain), session in sorted(ups, key=lambda up: (-up[0][1], up[1].ask.session)):
+            node = session.node
+            if node is None or gain <= 0 or node.link.moment <= node.link.raised_at:
                 continue
-            part = RAISE_PART / self.settings.directors
-            asked = self._rack_use(rack) * rack.kb if rack.kb < math.inf else 0.0
-            taken = 0.0
-            ups = [(self._step_up(s), s) for s in self._sessions_on(rack) if self._may_rise(s)]
-            for (added, gain), session in sorted(ups, key=lambda up: (-up[0][1], up[1].ask.session)):
-                node = session.node
-                if node is None or gain <= 0 or node.link.moment <= node.link.raised_at:
-                    continue
-                mark = self._mark(self._class(session.ask), session.rung + 1) - RAISE_GAP
-                link_room = (mark - self._link_use(node)) * node.link.kb / self.settings.directors
-                if added <= link_room and taken + added <= part * (mark * rack.kb - asked):
-                    taken += added
-                    rack.raised_at = node.link.raised_at = self.now
-                    self._set_rung(session, session.rung + 1)
+            mark = self._mark(self._class(session.ask), session.rung + 1) - RAISE_GAP
+            link_room = (mark - self._link_use(node)) * node.link.kb / self.settings.directors
+            if added <= link_room and taken + added <= part * (mark * rack.kb - asked):
+                taken += added
+                rack.raised_at = node.link.raised_at = self.now
+                self._set_rung(session, session.rung + 1)
 
     def _may_rise(self, session: _Session) -> bool:
         top = min(session.ask.best_rung, self._class(session.ask).top)
@@ -604,24 +631,36 @@
         if event.kind is fl.ListKind.FAILED:
             if self.settings.list_by_ask:
                 self.ask_list_at = self.now + ASK_LIST_MS
+                self.out.append(fl.SetTimer(ASK_LIST_MS, 1))
             return
         named = {info.node for info in event.nodes}
         for info in event.nodes:
             self._listed(info, event.kind)
         if event.kind is not fl.ListKind.DELTA:
             for name in [name for name in self.nodes if name not in named]:
-                self.nodes.pop(name)
+                self._forget(name)
+
+    def _forget(self, name: int) -> None:
+        node = self.nodes.pop(name, None)
+        if node is not None:
+            node.rack.nodes.remove(node)
+            self.cells[node.info.cell].remove(node)
 
     def _listed(self, info: fl.NodeInfo, kind: fl.ListKind) -> None:
         node = self.nodes.get(info.node)
+        if info.status is fl.Status.GONE or (node is not None and node.info.cell != info.cell):
+            self._forget(info.node)
+            node = None
         if info.status is fl.Status.GONE:
-            self.nodes.pop(info.node, None)
             return
         if node is None:
             link = _pipe(max(info.weight * self.settings.link_kb_per_weight, 1.0), self.now)
             number = info.cell % max(self.settings.racks, 1)
             rack = self.racks.setdefault(number, _pipe(self.settings.uplink_kb or math.inf, self.now))
             node = self.nodes[info.node] = _Node(info, link, rack)
+            link.nodes.append(node)
+            rack.nodes.append(node)
+            self.cells.setdefault(info.cell, []).append(node)
             if kind is fl.ListKind.CACHED:
                 node.cold_since = self.now  # a cached list may be stale: the node may have restarted since
         elif info.started_ms != node.info.started_ms:
