--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+import random
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -148,7 +149,7 @@
 
     def __init__(self, settings: fl.Settings, seed: int) -> None:
         self.settings = settings
-        del seed  # for embedders' sake: nothing here is left to chance
+        self.random = random.Random(seed)
         self.best_yield = max(self._yield(klass, klass.floor) for klass in settings.classes)
         self.nodes: dict[int, _Node] = {}
         self.cells: dict[int, list[_Node]] = {}
@@ -584,6 +585,7 @@
         """Lowers own sessions on a pipe asked for more than it gives, by this director's part of the excess.
 
         Every director there hears the same news, so each cuts its own part, once for news of each moment.
+        Parts are rounded to whole steps at random, so that the sum over many directors comes out right.
         """
         if use <= FULL:
             return
@@ -592,7 +594,7 @@
         cut = pipe.own_kb * (1 - SHED_TO / use)
         while (session := self._cheapest_down(sessions)) is not None:
             saved = self._step_down(session)[0]
-            if cut < saved / 2:
+            if cut < saved * self.random.random():
                 break
             cut -= saved
             self._set_rung(session, session.rung - 1)
@@ -600,13 +602,13 @@
     def _raise(self, rack: _Pipe) -> None:
         """Raises sessions where room has lasted and the gain repays the change, a little at a time.
 
-        Each round takes a small part of a rack's room: the other directors see the same room.
+        Others see the same room, so each takes what its sessions are of all that is asked there, rounded to
+        whole steps at random: with a part for each director, many directors would raise nothing.
         """
         since = max(rack.strained_at + RAISE_AFTER_MS, rack.raised_at + RAISE_EVERY_MS)
         if self.now < since:
             return
-        part = RAISE_PART / self.settings.directors
-        asked = self._rack_use(rack) * rack.kb if rack.kb < math.inf else 0.0
+        uplink = [(self._rack_use(rack), rack)] if rack.kb < math.inf else []
         taken = 0.0
         ups = [(self._step_up(s), s) for s in self._sessions_on(rack) if self._may_rise(s)]
         for (added, gain), session in sorted(ups, key=lambda up: (-up[0][1], up[1].ask.session)):
@@ -614,8 +616,11 @@
             if node is None or gain <= 0 or node.link.moment <= node.link.raised_at:
                 continue
             mark = self._mark(self._class(session.ask), session.rung + 1) - RAISE_GAP
-            link_room = (mark - self._link_use(node)) * node.link.kb / self.settings.directors
-            if added <= link_room and taken + added <= part * (mark * rack.kb - asked):
+            pipes = [(self._link_use(node), node.link), *uplink]
+            parts = [(mark / max(use, 1e-9) - 1) * pipe.own_kb for use, pipe in pipes]
+            fits = all(use + added / pipe.kb <= mark for use, pipe in pipes)
+            chance = added * self.random.random()
+            if fits and chance <= parts[0] and taken + chance <= RAISE_PART * parts[-1]:
                 taken += added
                 rack.raised_at = node.link.raised_at = self.now
                 self._set_rung(session, session.rung + 1)
