--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -22,6 +22,8 @@
 MARK_FALLS = 0.08  # by how much the mark falls for each halving of the worth earned for each kB a second
 HOLD_PART = 0.4  # share of the wanted time for which a request is held: its set-up must still fit in
 TRY_PART = 0.6  # share of the wanted time that a repeatable set-up may take before the next holder is tried
+COLD_FILL = 0.5  # requests that could go to a cold node in one turn, of all directors that share it
+COLD_RIVALS = 7  # holders with as little work, looked at to see how many requests a cold node draws
 COLD_PART = 0.7  # share of a cold node's budget that is used; the rest is for unequal set-up costs
 SUSPEND_MS = 1000.0  # ms; first suspension of a node that failed; doubles with each further failure
 SUSPEND_MAX_MS = 8000.0  # ms; longest suspension: a node is back in service seconds after it returns
@@ -159,6 +161,8 @@
         self.seats: dict[tuple[int, int], int] = {}
         self.asks: deque[float] = deque()
         self.extras: deque[float] = deque()
+        self.ask_rate = 1 / max(settings.warm_up_ms, 1.0)  # requests taken a ms, over the last warm-up time
+        self.asked_at = 0.0
         self.playing = 0  # own sessions that play, and their rates
         self.playing_kb = 0.0
         self.usual_use = UNHEARD  # of a link: a mean of the latest news, of whichever link
@@ -316,7 +320,7 @@
         set_up_kb = self.playing_kb / self.playing if self.playing else self.settings.ladder_kb[0]
         return (node.setting_up * set_up_kb + node.playing_kb) / node.link.kb
 
-    def _holders(self, session: _Session) -> Iterator[_Node]:
+    def _holders(self, session: _Session) -> list[_Node]:
         """The title's holders that may be sent a set-up now, least work first.
 
         Where every holder is suspended, those not tried just now are better than none.
@@ -329,14 +333,13 @@
             if node.info.status is fl.Status.READY
             and node.info.node not in session.tried
             and (node.suspensions == 0 or node.setting_up == 0)
-            and self._warm_enough(node)
         ]
         usable = [node for node in found if self.now >= node.suspended_until] or found
         tie = _mix(self.settings.director, ask.session)
         once = self._class(ask).repeat is not fl.Repeat.FREE
         # a set-up that cannot be repeated is no trial for a node that has just failed
         usable.sort(key=lambda n: (once and n.suspensions > 0, self._work(n), _mix(tie, n.info.node)))
-        return iter(usable)
+        return usable
 
     # ---- Rung ---------------------------------------------------------------------------------------------
     def _class(self, ask: fl.Ask) -> fl.SessionClass:
@@ -371,6 +374,9 @@
     # ---- Request life -------------------------------------------------------------------------------------
     def _take(self, ask: fl.Ask) -> None:
         session = _Session(ask, self.now, self.now + ask.ttl_ms)
+        span = max(self.settings.warm_up_ms, 1.0)
+        faded = math.exp((self.asked_at - self.now) / span)
+        self.ask_rate, self.asked_at = self.ask_rate * faded + 1 / span, self.now
         if self.settings.extra_span_ms > 0:
             self.asks.append(self.now)
             self._trim_budget()
@@ -384,9 +390,10 @@
             return False
         if session.attempts and not self._may_try_again(session):
             return False  # also after a hold: others may have spent the budget of attempts meanwhile
-        for node in self._holders(session):
+        holders = self._holders(session)
+        for k, node in enumerate(holders):
             rung = self._rung(node, session.ask)
-            if rung is not None:
+            if rung is not None and self._warm_enough(node, session.ask, holders[k + 1 :]):
                 self._send(session, node, rung)
                 return True
         return False
@@ -675,11 +682,13 @@
         if info.started_ms > 0:
             node.cold_since = max(node.cold_since, info.started_ms)
 
-    def _warm_enough(self, node: _Node) -> bool:
+    def _warm_enough(self, node: _Node, ask: fl.Ask, others: list[_Node]) -> bool:
         """Keeps this director's set-ups to a cold node within its own part of the node's budget.
 
-        Directors take turns counted from the node's start, so that none needs to hear of another. Nodes of
-        a cached list count as cold, which also keeps a restarted director from flooding the first it sees.
+        Directors take turns counted from the node's start, so that none needs to hear of another. As many
+        share a turn as together have few requests that would go there, judged by this one's own and by the
+        rivals with as little work and room: a turn for each of hundreds would come after the warm-up. Nodes
+        of a cached list count as cold, which keeps a restarted director from flooding the first it sees.
         Costs room where a node was warm after all.
         """
         s = self.settings
@@ -690,7 +699,11 @@
             return True
         slots = s.kind_slots[node.info.kind] if node.info.kind < len(s.kind_slots) else min(s.kind_slots)
         gap = s.warm_up_ms / (slots * s.cold_from * s.cold_multiple * COLD_PART)
-        turn = int(age // gap) % s.directors == s.director % s.directors
+        equal = [n for n in others[:COLD_RIVALS] if self._work(n) <= self._work(node)]
+        rivals = [n for n in equal if self._rung(n, ask) is not None]
+        asks = s.directors * self.ask_rate * gap * min(ask.holders / s.cells, 1.0) / (1 + len(rivals))
+        turns = min(max(math.ceil(asks / COLD_FILL), 1), s.directors)
+        turn = (int(age // gap) + node.info.node) % turns == s.director % turns
         return turn and (not node.cold_sends or self.now - node.cold_sends[-1] >= gap)
 
     def _judge(self, node: _Node, outcome: fl.Outcome, was_playing: bool) -> None:
