--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -338,7 +338,15 @@
         tie = _mix(self.settings.director, ask.session)
         once = self._class(ask).repeat is not fl.Repeat.FREE
         # a set-up that cannot be repeated is no trial for a node that has just failed
-        usable.sort(key=lambda n: (once and n.suspensions > 0, self._work(n), _mix(tie, n.info.node)))
+        far = self.settings.price_crossing > 0
+        usable.sort(
+            key=lambda n: (
+                once and n.suspensions > 0,
+                self._work(n),
+                far and n.info.zone != self.settings.zone,
+                _mix(tie, n.info.node),
+            )
+        )
         return usable
 
     # ---- Rung ---------------------------------------------------------------------------------------------
