--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -624,7 +624,7 @@
         if self.now < since:
             return
         uplink = [(self._rack_use(rack), rack)] if rack.kb < math.inf else []
-        taken = 0.0
+        taken, luck = 0.0, self.random.random()
         ups = [(self._step_up(s), s) for s in self._sessions_on(rack) if self._may_rise(s)]
         for (added, gain), session in sorted(ups, key=lambda up: (-up[0][1], up[1].ask.session)):
             node = session.node
@@ -634,8 +634,7 @@
             pipes = [(self._link_use(node), node.link), *uplink]
             parts = [(mark / max(use, 1e-9) - 1) * pipe.own_kb for use, pipe in pipes]
             fits = all(use + added / pipe.kb <= mark for use, pipe in pipes)
-            chance = added * self.random.random()
-            if fits and chance <= parts[0] and taken + chance <= RAISE_PART * parts[-1]:
+            if fits and added * luck <= parts[0] and taken + added * luck <= RAISE_PART * parts[-1]:
                 taken += added
                 rack.raised_at = node.link.raised_at = self.now
                 self._set_rung(session, session.rung + 1)
