--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -34,7 +34,6 @@
 RAISE_GAP = 0.05  # how far under the mark for new sessions playing ones are raised: a gap, against flapping
 RAISE_AFTER_MS = 8000.0  # ms; room must have lasted so long: longer than news take to show a change
 RAISE_FIRST_MS = 4000.0  # ms; the same for a pipe just come to know: time to hear of it
-RAISE_EVERY_MS = 2000.0  # ms; between two rounds of raises in a rack, so that news can show the first
 RAISE_PART = 0.5  # part of a rack's room that all directors together raise into in one round
 RAISE_REPAYS = 4.0  # a raise must gain so many times what the change costs
 LEFT_S = 20.0  # s; expected rest of a session without a hint
@@ -201,14 +200,11 @@
 
     # ---- Estimate -----------------------------------------------------------------------------------------
     def _heard(self, node: _Node | None, load: fl.Load | None) -> None:
-        """A report in an answer: noisy, so half of what was expected is kept."""
         if node is None or load is None:
             return
         use = load.link if load.link is not None else load.link_up_to_one
         for pipe, value in ((node.link, use), (node.rack, load.uplink)):
             if value is not None:
-                expected = pipe.heard_use()
-                value = value if expected is None else (value + expected) / 2
                 self._tell(pipe, value, self.now - REPORT_AGE_MS)
         self._raise(node.rack)
 
@@ -620,8 +616,7 @@
         Others see the same room, so each takes what its sessions are of all that is asked there, rounded to
         whole steps at random: with a part for each director, many directors would raise nothing.
         """
-        since = max(rack.strained_at + RAISE_AFTER_MS, rack.raised_at + RAISE_EVERY_MS)
-        if self.now < since:
+        if self.now < rack.strained_at + RAISE_AFTER_MS:
             return
         uplink = [(self._rack_use(rack), rack)] if rack.kb < math.inf else []
         taken, luck = 0.0, self.random.random()
@@ -636,7 +631,7 @@
             fits = all(use + added / pipe.kb <= mark for use, pipe in pipes)
             if fits and added * luck <= parts[0] and taken + added * luck <= RAISE_PART * parts[-1]:
                 taken += added
-                rack.raised_at = node.link.raised_at = self.now
+                node.link.raised_at = self.now
                 self._set_rung(session, session.rung + 1)
 
     def _may_rise(self, session: _Session) -> bool:
