--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -10,9 +10,10 @@
 import math
 import random
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Any
 
 from foxlift import interface as fl
 
@@ -127,7 +128,7 @@
     suspended_until: float = 0.0
     share: float = 1.0  # last told share delivered, and when
     share_at: float = -1e18
-    cold_sends: deque[float] = field(default_factory=deque)
+    sent_at: float = -1e18  # when this director last sent a set-up there
 
 
 def _pipe(kb: float, now: float) -> _Pipe:
@@ -170,6 +171,17 @@
         self.ask_list_at = -math.inf if settings.list_by_ask else math.inf  # when to ask for the node list
         self.now = 0.0
         self.out: list[fl.Action] = []
+        self.handlers: dict[type, Callable[[Any], None]] = {
+            fl.NodeList: self._list,
+            fl.Ask: self._take,
+            fl.Started: self._started,
+            fl.Ended: self._ended,
+            fl.Note: self._note,
+            fl.Resumed: self._resumed,
+            fl.Withdrawn: self._withdrawn,
+            fl.Wake: self._beat,
+            fl.Probed: lambda event: self._heard(self.nodes.get(event.node), event.load),
+        }
 
     def handle(self, now: float, event: fl.Event) -> list[fl.Action]:
         """Take one event in; give back the actions in the order in which they are to be carried out."""
@@ -177,25 +189,7 @@
         if now >= self.ask_list_at:
             self.ask_list_at = math.inf
             self.out.append(fl.WatchList(True))
-        match event:
-            case fl.Ask():
-                self._take(event)
-            case fl.Started():
-                self._started(event)
-            case fl.Ended():
-                self._ended(event)
-            case fl.Note():
-                self._note(event)
-            case fl.Wake():
-                self._beat()
-            case fl.NodeList():
-                self._list(event)
-            case fl.Resumed():
-                self._resumed(event)
-            case fl.Withdrawn():
-                self._withdrawn(event)
-            case fl.Probed():
-                self._heard(self.nodes.get(event.node), event.load)
+        self.handlers[type(event)](event)
         return self.out
 
     # ---- Estimate -----------------------------------------------------------------------------------------
@@ -335,15 +329,12 @@
         once = self._class(ask).repeat is not fl.Repeat.FREE
         # a set-up that cannot be repeated is no trial for a node that has just failed
         far = self.settings.price_crossing > 0
-        usable.sort(
-            key=lambda n: (
-                once and n.suspensions > 0,
-                self._work(n),
-                far and n.info.zone != self.settings.zone,
-                _mix(tie, n.info.node),
-            )
-        )
-        return usable
+
+        def order(node: _Node) -> tuple[bool, float, bool, int]:
+            crosses = far and node.info.zone != self.settings.zone
+            return once and node.suspensions > 0, self._work(node), crosses, _mix(tie, node.info.node)
+
+        return sorted(usable, key=order)
 
     # ---- Rung ---------------------------------------------------------------------------------------------
     def _class(self, ask: fl.Ask) -> fl.SessionClass:
@@ -416,9 +407,8 @@
         session.state, session.node = _State.SETTING_UP, node
         node.sessions[session.ask.session] = session
         node.setting_up += 1
-        node.cold_sends.append(self.now)
-        seat = (session.ask.title, session.ask.klass)
-        self.seats[seat] = self.seats.get(seat, 0) + 1
+        node.sent_at = self.now
+        self._take_seat(session.ask, 1)
         self._count(session, rung)
         self.out.append(fl.SetRung(session.ask.session, rung))
         self.out.append(fl.SetUp(session.ask.session, node.info.node, left))
@@ -472,7 +462,7 @@
             come_back = self.settings.come_back_max_ms if self.settings.come_back else 0.0
             self.out.append(fl.Refuse(name, come_back))
 
-    def _beat(self) -> None:
+    def _beat(self, _: fl.Wake) -> None:
         self.beating = False
         for session in list(self.held.values()):
             if not self._place(session) and self._hold_ends(session) <= self.now:
@@ -526,7 +516,7 @@
         node = session.node
         if node is None:
             return
-        self._free_seat(session.ask)
+        self._take_seat(session.ask, -1)
         if session.state is _State.SETTING_UP:
             node.setting_up -= 1
         elif session.state is _State.PLAYING:
@@ -552,8 +542,7 @@
         session = _Session(event.ask, self.now, self.now, _State.PLAYING, True, attempts=1, node=node)
         self.sessions[event.ask.session] = session
         node.sessions[event.ask.session] = session
-        seat = (event.ask.title, event.ask.klass)
-        self.seats[seat] = self.seats.get(seat, 0) + 1
+        self._take_seat(event.ask, 1)
         self._plays(session, node, 1)
         self._count(session, self._class(event.ask).floor)
 
@@ -695,8 +684,6 @@
         """
         s = self.settings
         age = self.now - node.cold_since
-        while node.cold_sends and node.cold_sends[0] < self.now - s.warm_up_ms:
-            node.cold_sends.popleft()
         if age >= s.warm_up_ms:
             return True
         slots = s.kind_slots[node.info.kind] if node.info.kind < len(s.kind_slots) else min(s.kind_slots)
@@ -706,7 +693,7 @@
         asks = s.directors * self.ask_rate * gap * min(ask.holders / s.cells, 1.0) / (1 + len(rivals))
         turns = min(max(math.ceil(asks / COLD_FILL), 1), s.directors)
         turn = (int(age // gap) + node.info.node) % turns == s.director % turns
-        return turn and (not node.cold_sends or self.now - node.cold_sends[-1] >= gap * s.directors / turns)
+        return turn and self.now - node.sent_at >= gap * s.directors / turns
 
     def _judge(self, node: _Node, outcome: fl.Outcome, was_playing: bool) -> None:
         """Suspends a node that breaks, cannot be reached or does not start what it was sent.
@@ -734,13 +721,11 @@
         seats = self._class(ask).seats
         return seats <= 0 or self.seats.get((ask.title, ask.klass), 0) < seats
 
-    def _free_seat(self, ask: fl.Ask) -> None:
+    def _take_seat(self, ask: fl.Ask, more: int) -> None:
         seat = (ask.title, ask.klass)
-        left = self.seats.get(seat, 0) - 1
-        if left > 0:
-            self.seats[seat] = left
-        else:
-            self.seats.pop(seat, None)
+        self.seats[seat] = self.seats.get(seat, 0) + more
+        if not self.seats[seat]:
+            del self.seats[seat]
 
     def _trim_budget(self) -> None:
         for log in (self.asks, self.extras):
