--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -252,7 +252,7 @@
         pipe.short_until = self.now + SHORT_LASTS_MS
         use = 1 / max(share, LEAST_SHARE)
         if pipe is link or rack.use is not None:
-            self._tell(pipe, use, moment)
+            pipe.tell(use, moment)
         elif moment > rack.shed_at + SETTLE_MS:
             rack.kb = min(rack.kb, max(share * self._rack_kb(rack), rack.own_kb * share))
             rack.learned_at = self.now
