--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -10,7 +10,7 @@
 import math
 import random
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
@@ -294,15 +294,13 @@
             total += max(min(self._link_use(node) * link.kb, most), link.own_kb)
         return total
 
-    def _uses(self, node: _Node) -> Iterator[tuple[float, float]]:
+    def _uses(self, node: _Node) -> list[tuple[float, float]]:
         """Estimated use and size of node's link and uplink; full while short."""
         link, rack = node.link, node.rack
         if max(link.short_until, rack.short_until) > self.now:
-            yield math.inf, 1.0
-            return
-        yield self._link_use(node), link.kb
-        if rack.kb < math.inf:
-            yield self._rack_use(rack), rack.kb
+            return [(math.inf, 1.0)]
+        uplink = [(self._rack_use(rack), rack.kb)] if rack.kb < math.inf else []
+        return [(self._link_use(node), link.kb), *uplink]
 
     # ---- Choice -------------------------------------------------------------------------------------------
     def _work(self, node: _Node) -> float:
@@ -349,7 +347,7 @@
         Steps of the ladder that earn less for their rate keep to a lower mark: they leave room for what
         follows and earns more. Without that the first sessions take it all.
         """
-        klass, uses = self._class(ask), list(self._uses(node))
+        klass, uses = self._class(ask), self._uses(node)
         for rung in range(min(ask.best_rung, klass.top), klass.floor - 1, -1):
             mark, kb = self._mark(klass, rung), self._kb(ask, rung)
             if all(kb <= (mark - use) * size for use, size in uses):
@@ -440,12 +438,9 @@
         else:
             session.state = _State.HELD
             self.held[session.ask.session] = session
-            self._set_beat()
-
-    def _set_beat(self) -> None:
-        if self.held and not self.beating:
-            self.beating = True
-            self.out.append(fl.SetTimer(BEAT_MS, 0))
+            if not self.beating:
+                self.beating = True
+                self.out.append(fl.SetTimer(BEAT_MS, 0))
 
     def _hold_ends(self, session: _Session) -> float:
         hold_ms = HOLD_PART * self._class(session.ask).wanted_ms
@@ -465,9 +460,8 @@
     def _beat(self, _: fl.Wake) -> None:
         self.beating = False
         for session in list(self.held.values()):
-            if not self._place(session) and self._hold_ends(session) <= self.now:
-                self._give_up(session)
-        self._set_beat()
+            if not self._place(session):
+                self._hold(session)
 
     def _started(self, event: fl.Started) -> None:
         session = self.sessions.get(event.session)
--- a/tests/test_quality.py
+++ b/tests/test_quality.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from dataclasses import replace
 
 from fleet import CLASSES, ONCE, SETTINGS, ask, director, full, info, only, play
@@ -20,6 +21,43 @@
     return len(only(actions, fl.SetRung))
 
 
+def calls_of_a_round(nodes: int, directors: int) -> int:
+    """Calls made for one request, its start, a note and its end; 40 sessions play meanwhile."""
+    racks = nodes // 4
+    made = Director(replace(SETTINGS, cells=nodes, racks=racks, directors=directors, uplink_kb=9000.0), 1)
+    made.handle(0.0, full(*(replace(info(node), cell=node) for node in range(nodes))))
+    for k in range(40):
+        play(made, 1.0, ask(k, first_cell=k % 16, best_rung=0))
+        tell(made, 2.0, k, k % 16, fl.NoteKind.LINK, 0.3)
+    count = 0
+
+    def seen(_frame: object, event: str, _arg: object) -> None:
+        nonlocal count
+        count += event in ("call", "c_call")
+
+    sys.setprofile(seen)
+    node, _ = play(made, 20000.0, ask(99, first_cell=3, best_rung=0))
+    tell(made, 20100.0, 99, node, fl.NoteKind.LINK, 0.3)
+    tell(made, 20200.0, 99, node, fl.NoteKind.DELIVERED, 0.9)
+    made.handle(20300.0, fl.Ended(99, node, 0, fl.Outcome.OK, True, 300.0))
+    sys.setprofile(None)
+    return count
+
+
+def test_work_for_an_event_does_not_grow_with_the_fleet() -> None:
+    """Scans of all nodes or sessions for each event had days of 160 nodes and 300 directors cut off."""
+    small, large = calls_of_a_round(16, 3), calls_of_a_round(160, 300)
+    assert 0 < large < 1.3 * small
+
+
+def test_a_holder_of_the_own_zone_is_first_among_equals_where_crossings_cost() -> None:
+    for zone in (0, 1):
+        made = Director(replace(SETTINGS, zone=zone, price_crossing=0.02), seed=1)
+        made.handle(0.0, full(*(replace(info(node), zone=node % 2) for node in range(4))))
+        sent = [only(made.handle(1.0, ask(k)), fl.SetUp)[0].node % 2 for k in range(4)]
+        assert sent == [zone, zone, 1 - zone, 1 - zone]  # work still comes before the zone
+
+
 def test_least_work_is_spread_and_ties_are_stable() -> None:
     made = director(link_kb_per_weight=20000.0, uplink_kb=0.0)
     nodes = [play(made, 1.0, ask(k))[0] for k in range(8)]
