--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -25,7 +25,7 @@
 TRY_PART = 0.6  # share of the wanted time that a repeatable set-up may take before the next holder is tried
 COLD_FILL = 0.7  # requests expected in one turn at a cold node, of all directors that share it
 COLD_RIVALS = 7  # holders with as little work, looked at to see how many requests a cold node draws
-COLD_PART = 0.5  # share of a cold node's budget that is used; the rest is for turns that overlap
+COLD_PART = 0.7  # share of a cold node's budget that is used; the rest is for unequal set-up costs
 SUSPEND_MS = 1000.0  # ms; first suspension of a node that failed; doubles with each further failure
 SUSPEND_MAX_MS = 8000.0  # ms; longest suspension: a node is back in service seconds after it returns
 ASK_LIST_MS = 1000.0  # ms; wait before asking a list service that failed again, so as not to add to its load
@@ -673,7 +673,8 @@
         Directors take turns counted from the node's start, so that none needs to hear of another. As many
         share a turn as together have few requests that would go there, judged by this one's own and by the
         rivals with as little work and room: a turn for each of hundreds would come after the warm-up. Nodes
-        of a cached list count as cold, which keeps a restarted director from flooding the first it sees.
+        of a cached list count as cold, which keeps a restarted director from flooding the first it sees. Own
+        sends keep a whole round of turns apart: few directors stay within the budget whoever has the turn.
         Costs room where a node was warm after all.
         """
         s = self.settings
@@ -687,7 +688,7 @@
         asks = s.directors * self.ask_rate * gap * min(ask.holders / s.cells, 1.0) / (1 + len(rivals))
         turns = min(max(math.ceil(asks / COLD_FILL), 1), s.directors)
         turn = (int(age // gap) + node.info.node) % turns == s.director % turns
-        return turn and self.now - node.sent_at >= gap * s.directors / turns
+        return turn and self.now - node.sent_at >= gap * s.directors
 
     def _judge(self, node: _Node, outcome: fl.Outcome, was_playing: bool) -> None:
         """Suspends a node that breaks, cannot be reached or does not start what it was sent.
