--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -50,6 +50,7 @@
 LINK_EXPLAINS = 0.9  # asked of the link times share delivered: about 1 where the link is what is short
 UNHEARD = 0.6  # use of a link while nothing at all has been heard: a fresh director starts at middling rungs
 USUAL_OF = 20  # pieces of news over which the usual use of a link is averaged: some seconds' worth
+UNSURE = 0.2  # how much above the average an unheard link counts for a director with hardly any session
 REPORT_AGE_MS = 400.0  # ms; typical age of a report in an answer, refreshed now and then and sent late
 LOGGED = 200  # own changes kept between two pieces of news on a pipe
 
@@ -225,8 +226,7 @@
         if note.kind is not fl.NoteKind.DELIVERED:
             self._recover(node.rack)
             for pipe in (node.link, node.rack):
-                use = pipe.heard_use()
-                if use is not None and moment > pipe.shed_at:
+                if (use := pipe.heard_use()) is not None and moment > pipe.shed_at:
                     self._shed(pipe, use)
             self._raise(node.rack)
 
@@ -268,18 +268,19 @@
         rack.kb = max(rack.kb + part * (rack.told_kb - rack.kb), min(self._rack_kb(rack), rack.told_kb))
 
     def _link_use(self, node: _Node) -> float:
-        """Estimated share of the node's link that is asked; an unheard node counts as average."""
-        use = node.link.heard_use()
-        if use is not None:
+        """Estimated share of the node's link that is asked; an unheard node counts as average, and some more.
+
+        The fewer own sessions a node, the less the average says, and too high a start costs most.
+        """
+        if (use := node.link.heard_use()) is not None:
             return use
-        return max(self.usual_use, node.link.own_kb * self.settings.directors / node.link.kb)
+        more = 1 + UNSURE * max(1 - len(self.sessions) / max(len(self.nodes), 1), 0)
+        return max(more * self.usual_use, node.link.own_kb * self.settings.directors / node.link.kb)
 
     def _rack_use(self, rack: _Pipe) -> float:
         """Estimated share of the uplink that is asked: heard, or summed over the rack's links."""
         use = rack.heard_use()
-        if use is not None:
-            return use
-        return self._rack_kb(rack) / rack.kb
+        return self._rack_kb(rack) / rack.kb if use is None else use
 
     def _rack_kb(self, rack: _Pipe) -> float:
         """What is asked of all links of the rack, kB a second.
@@ -484,7 +485,7 @@
         if node is not None and same_process:
             self._judge(node, event.outcome, was_playing)
         if event.outcome is fl.Outcome.FULL and node is not None:
-            self._tell(node.link, max(1.0, self.settings.node_full_from, node.link.use or 0.0), self.now)
+            node.link.tell(max(1.0, self.settings.node_full_from, node.link.use or 0.0), self.now)
         if event.outcome is fl.Outcome.NEVER_SENT and session.attempts > 1 and session.sent_at in self.extras:
             self.extras.remove(session.sent_at)
         session.may_have_run |= not event.outcome.proves_unrun
--- a/tests/test_quality.py
+++ b/tests/test_quality.py
@@ -201,6 +201,20 @@
     assert only(made.handle(1.0, ask(1)), fl.SetRung)[0].rung < 3
 
 
+def test_unheard_nodes_are_started_lower_by_a_director_with_few_sessions_a_node() -> None:
+    """With hundreds of directors most sessions start where nothing was heard; too high a start costs most."""
+    rungs = {}
+    for nodes in (4, 400):
+        made = Director(replace(SETTINGS, cells=nodes, uplink_kb=0.0), seed=1)
+        made.handle(0.0, full(*(replace(info(node), cell=node) for node in range(nodes))))
+        for k in range(12):
+            node, _ = play(made, 1.0, ask(k, first_cell=k % 3, holders=1, best_rung=0))
+            tell(made, 2.0 + k, k, node, fl.NoteKind.LINK, 0.62)
+        (set_rung,) = only(made.handle(99.0, ask(99, first_cell=3, holders=1)), fl.SetRung)
+        rungs[nodes] = set_rung.rung
+    assert rungs[400] < rungs[4]
+
+
 def test_a_node_that_fails_is_left_alone_and_tried_again_with_one_session() -> None:
     for outcome in (fl.Outcome.CONNECT_FAILED, fl.Outcome.RESET, fl.Outcome.TIMEOUT):
         made = director(nodes=2, link_kb_per_weight=50000.0, uplink_kb=0.0)
