Typed settings, session tokens, DASH rewrite and HTTP protocols as packages of their own

Cause: the program that speaks DASH needs its lower floors first. Settings are S-expressions (sexpdata) bound to msgspec structures, each error with file, line, column and key; tokens are JWTs (joserfc); manifests are checked and shaped with lxml; HTTP/1.1 runs on asyncio protocols with httptools.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Long measurements, outside CI; tables and charts go to docs/measured/."""
--- /dev/null
+++ b/foxlift/config/__init__.py
@@ -0,0 +1,28 @@
+"""S-expression files to typed, checked structures; each error names file, line, column and key."""
+
+from foxlift.config.forms import ConfigError, Place, bind, read_forms
+from foxlift.config.settings import (
+    BoxLinkConfig,
+    CatalogueConfig,
+    DirectorConfig,
+    FleetConfig,
+    FrontConfig,
+    TokenConfig,
+    load_director,
+    module_settings,
+)
+
+__all__ = [
+    "BoxLinkConfig",
+    "CatalogueConfig",
+    "ConfigError",
+    "DirectorConfig",
+    "FleetConfig",
+    "FrontConfig",
+    "Place",
+    "TokenConfig",
+    "bind",
+    "load_director",
+    "module_settings",
+    "read_forms",
+]
--- /dev/null
+++ b/foxlift/config/settings.py
@@ -0,0 +1,248 @@
+"""The settings of one director, as written by its operator, and the module's Settings made from them."""
+
+from __future__ import annotations
+
+import math
+from pathlib import Path
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+
+from foxlift import interface as fl
+from foxlift.config.forms import ConfigError, Place, bind, read_forms
+
+Ms = Annotated[float, Meta(ge=0, le=86_400_000)]
+Port = Annotated[int, Meta(ge=0, le=65535)]
+Name = Annotated[str, Meta(min_length=1, max_length=100, pattern=r"^[A-Za-z0-9._-]+$")]
+Count = Annotated[int, Meta(ge=0, le=10_000_000)]
+Positive = Annotated[int, Meta(ge=1, le=10_000_000)]
+Amount = Annotated[float, Meta(ge=0, le=1e12)]
+
+_REPEATS = {"free": fl.Repeat.FREE, "windowed": fl.Repeat.WINDOWED, "once": fl.Repeat.ONCE}
+
+
+class ClassConfig(msgspec.Struct, frozen=True, tag="class", forbid_unknown_fields=True):
+    """Terms of one class of session; see `foxlift.interface.SessionClass`."""
+
+    name: Name
+    repeat: Literal["free", "windowed", "once"]
+    wanted_ms: Ms
+    deadline_ms: Ms
+    worth: Amount
+    top: Annotated[int, Meta(ge=0, le=31)]
+    rate_scale: Annotated[float, Meta(gt=0, le=1000)] = 1.0
+    floor: Annotated[int, Meta(ge=0, le=31)] = 0
+    seats: Count = 0
+    live: bool = False
+
+
+class TenantConfig(msgspec.Struct, frozen=True, tag="tenant"):
+    """A tenant and its part of the service."""
+
+    name: Name
+    share: Annotated[float, Meta(ge=0, le=1)] = 1.0
+    quota_per_s: Amount = 0.0
+
+
+class FleetConfig(msgspec.Struct, frozen=True):
+    """What the operators state of the fleet; all directors have the same."""
+
+    ladder_kb: Annotated[tuple[float, ...], Meta(min_length=1, max_length=32)]
+    ladder_worth: Annotated[tuple[float, ...], Meta(min_length=1, max_length=32)]
+    classes: tuple[ClassConfig, ...]
+    cells: Positive
+    racks: Positive
+    zones: Annotated[tuple[Name, ...], Meta(min_length=1, max_length=1000)]
+    kinds: Annotated[tuple[Name, ...], Meta(min_length=1, max_length=1000)]
+    kind_slots: Annotated[tuple[Positive, ...], Meta(min_length=1, max_length=1000)]
+    link_kb_per_weight: Amount
+    uplink_kb: Amount = 0.0
+    cold_from: Annotated[float, Meta(gt=0, le=1)] = 0.4
+    warm_up_ms: Ms = 0.0
+    cold_multiple: Annotated[float, Meta(gt=0, le=100)] = 2.0
+    cold_window_ms: Ms = 1000.0
+    node_full_from: Amount = 0.0
+    note_late_ms: Ms = 0.0
+    report_every_ms: Ms = 0.0
+    stall_cost: Amount = 0.0
+    rung_change_s: Amount = 0.0
+    max_attempts: Annotated[int, Meta(ge=1, le=100)] = 3
+    come_back_max_ms: Ms = 0.0
+    drain_grace_ms: Ms = 1000.0
+    answer_slack_ms: Ms = 40.0
+    extra_free: Amount = 0.0
+    extra_ratio: Amount = 0.0
+    extra_span_ms: Ms = 0.0
+    price_crossing: Amount = 0.0
+    price_move: Amount = 0.0
+    tenants: tuple[TenantConfig, ...] = ()
+    over_share_worth: Amount = 1.0
+
+    def __post_init__(self) -> None:
+        if len(self.ladder_kb) != len(self.ladder_worth):
+            raise ValueError("ladder-kb and ladder-worth differ in length")
+        if any(b <= a for a, b in zip(self.ladder_kb, self.ladder_kb[1:], strict=False)):
+            raise ValueError("ladder-kb does not rise from rung to rung")
+        if not all(math.isfinite(kb) and kb > 0 for kb in self.ladder_kb):
+            raise ValueError("ladder-kb holds a rate that is not above 0")
+        if not self.classes:
+            raise ValueError("classes: at least one class is needed")
+        if len({klass.name for klass in self.classes}) != len(self.classes):
+            raise ValueError("classes: two classes have one name")
+        for klass in self.classes:
+            if klass.floor > klass.top or klass.top >= len(self.ladder_kb):
+                raise ValueError(f"class {klass.name}: floor and top do not fit the ladder")
+            if klass.wanted_ms > klass.deadline_ms or klass.deadline_ms <= 0:
+                raise ValueError(f"class {klass.name}: wanted-ms lies above deadline-ms")
+        if len(self.kinds) != len(self.kind_slots):
+            raise ValueError("kinds and kind-slots differ in length")
+
+
+class FrontConfig(msgspec.Struct, frozen=True):
+    """The listening side: where, and what a peer may cost."""
+
+    host: str = "127.0.0.1"
+    port: Port = 0
+    max_connections: Positive = 20_000
+    max_header_bytes: Positive = 16_384
+    max_body_bytes: Count = 65_536
+    max_pipelined: Positive = 8
+    header_time_ms: Ms = 10_000.0
+    idle_time_ms: Ms = 60_000.0
+    stop_time_ms: Ms = 10_000.0
+    update_period_s: Annotated[float, Meta(gt=0, le=3600)] = 4.0
+
+
+class TokenConfig(msgspec.Struct, frozen=True):
+    """Where the keys lie that session tokens are checked with, and what a token must say."""
+
+    keys: str
+    issuer: Annotated[str, Meta(min_length=1)]
+    audience: Annotated[str, Meta(min_length=1)]
+    leeway_s: Annotated[int, Meta(ge=0, le=300)] = 2
+
+
+class CatalogueConfig(msgspec.Struct, frozen=True):
+    """The folder that holds `catalogue.sexp` and the source manifests."""
+
+    folder: str
+
+
+class BoxListConfig(msgspec.Struct, frozen=True):
+    """The box list service, asked by long poll."""
+
+    url: Annotated[str, Meta(pattern=r"^http://")]
+    poll_ms: Ms = 20_000.0
+    retry_ms: Ms = 500.0
+
+
+class BoxLinkConfig(msgspec.Struct, frozen=True):
+    """The director's side towards media boxes."""
+
+    connect_ms: Ms = 250.0
+    max_connections: Positive = 64
+    idle_ms: Ms = 4000.0
+    lost_after_ms: Ms = 2000.0
+    notice_retry_ms: Ms = 250.0
+    release_retry_ms: Ms = 500.0
+    max_answer_bytes: Positive = 65_536
+
+
+class DirectorConfig(msgspec.Struct, frozen=True):
+    """All that `foxlift serve` reads."""
+
+    name: Name
+    number: Count
+    directors: Positive
+    zone: Name
+    state: str
+    fleet: FleetConfig
+    front: FrontConfig
+    tokens: TokenConfig
+    catalogue: CatalogueConfig
+    box_list: BoxListConfig
+    boxes: BoxLinkConfig = BoxLinkConfig()
+    seed: Annotated[int, Meta(ge=0, le=2**63 - 1)] = 0
+    stall_ms: Ms = 200.0
+
+    def __post_init__(self) -> None:
+        if self.number >= self.directors:
+            raise ValueError(f"number {self.number} is not below directors {self.directors}")
+        if self.zone not in self.fleet.zones:
+            raise ValueError(f"zone {self.zone} is not one of the fleet's zones")
+
+
+def load_director(path: Path) -> DirectorConfig:
+    """Read a director's settings file.
+
+    Raises ConfigError; paths in the file are taken from the file's own folder.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise ConfigError(Place(str(path), 1, 1), "", f"cannot be read: {error}") from error
+    config = bind(read_forms(text, str(path)), DirectorConfig, "director")
+    here = path.parent
+    return msgspec.structs.replace(
+        config,
+        state=str(here / config.state),
+        tokens=msgspec.structs.replace(config.tokens, keys=str(here / config.tokens.keys)),
+        catalogue=msgspec.structs.replace(config.catalogue, folder=str(here / config.catalogue.folder)),
+    )
+
+
+def module_settings(config: DirectorConfig) -> fl.Settings:
+    """The module's settings, from what the operator stated."""
+    fleet = config.fleet
+    classes = tuple(
+        fl.SessionClass(
+            name=klass.name,
+            repeat=_REPEATS[klass.repeat],
+            wanted_ms=klass.wanted_ms,
+            deadline_ms=klass.deadline_ms,
+            worth=klass.worth,
+            rate_scale=klass.rate_scale,
+            floor=klass.floor,
+            top=klass.top,
+            seats=klass.seats,
+            live=klass.live,
+        )
+        for klass in fleet.classes
+    )
+    return fl.Settings(
+        director=config.number,
+        directors=config.directors,
+        classes=classes,
+        ladder_kb=fleet.ladder_kb,
+        ladder_worth=fleet.ladder_worth,
+        cells=fleet.cells,
+        racks=fleet.racks,
+        link_kb_per_weight=fleet.link_kb_per_weight,
+        kind_slots=fleet.kind_slots,
+        answer_slack_ms=fleet.answer_slack_ms,
+        cold_from=fleet.cold_from,
+        warm_up_ms=fleet.warm_up_ms,
+        cold_multiple=fleet.cold_multiple,
+        cold_window_ms=fleet.cold_window_ms,
+        zone=fleet.zones.index(config.zone),
+        tenants=tuple(fl.Tenant(t.name, t.share, t.quota_per_s) for t in fleet.tenants),
+        over_share_worth=fleet.over_share_worth,
+        uplink_kb=fleet.uplink_kb,
+        node_full_from=fleet.node_full_from,
+        note_late_ms=fleet.note_late_ms,
+        report_every_ms=fleet.report_every_ms,
+        stall_cost=fleet.stall_cost,
+        rung_change_s=fleet.rung_change_s,
+        max_attempts=fleet.max_attempts,
+        may_cancel=True,
+        come_back=fleet.come_back_max_ms > 0,
+        come_back_max_ms=fleet.come_back_max_ms,
+        connect_timeout_ms=config.boxes.connect_ms,
+        drain_grace_ms=fleet.drain_grace_ms,
+        extra_free=fleet.extra_free,
+        extra_ratio=fleet.extra_ratio,
+        extra_span_ms=fleet.extra_span_ms,
+        price_crossing=fleet.price_crossing,
+        price_move=fleet.price_move,
+    )
--- /dev/null
+++ b/foxlift/http/__init__.py
@@ -0,0 +1,22 @@
+"""HTTP/1.1 server and client as asyncio protocols on httptools, with limits on what a peer may cost."""
+
+from foxlift.http.client import Answer, Call, Failure, FailureKind, Pool, PoolLimits
+from foxlift.http.messages import Headers, Limits, Request, header, problem
+from foxlift.http.server import Exchange, Server, StreamOut
+
+__all__ = [
+    "Answer",
+    "Call",
+    "Exchange",
+    "Failure",
+    "FailureKind",
+    "Headers",
+    "Limits",
+    "Pool",
+    "PoolLimits",
+    "Request",
+    "Server",
+    "StreamOut",
+    "header",
+    "problem",
+]
