--- /dev/null
+++ b/foxlift/boxes/orca.py
@@ -0,0 +1,53 @@
+"""Load reports in an answer's header: Open Request Cost Aggregation (ORCA, xds.data.orca.v3.OrcaLoadReport).
+
+The header is `endpoint-load-metrics`, in its JSON or its TEXT form. Of the report the `named_metrics` are
+read: `link` (asked of the link over what it gives), `link_up_to_one`, `uplink` and `streams`; all else is
+passed over. A report that cannot be read is as good as none: it must never cost the answer that it came with.
+"""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+
+from foxlift import interface as fl
+
+HEADER = "endpoint-load-metrics"
+MAX_CHARS = 4096
+_NAMES = ("link", "link_up_to_one", "uplink", "streams")
+
+
+class _Report(msgspec.Struct):
+    named_metrics: dict[str, float] = {}
+
+
+def read_load(value: str | None) -> fl.Load | None:
+    """The module's Load, or None where there is no report that can be used."""
+    if not value or len(value) > MAX_CHARS:
+        return None
+    form, _, text = value.strip().partition(" ")
+    if form == "JSON":
+        try:
+            metrics = msgspec.json.decode(text, type=_Report).named_metrics
+        except (msgspec.MsgspecError, UnicodeDecodeError):
+            return None
+    elif form == "TEXT":
+        metrics = _read_text(text)
+    else:
+        return None
+    known = {name: metrics[name] for name in _NAMES if name in metrics}
+    known = {name: number for name, number in known.items() if math.isfinite(number) and 0 <= number < 1e6}
+    return fl.Load(**known) if known else None
+
+
+def _read_text(text: str) -> dict[str, float]:
+    metrics: dict[str, float] = {}
+    for pair in text.split(","):
+        name, _, number = pair.strip().partition("=")
+        if name.startswith("named_metrics."):
+            try:
+                metrics[name.removeprefix("named_metrics.")] = float(number)
+            except ValueError:
+                continue
+    return metrics
--- /dev/null
+++ b/foxlift/boxes/resource.py
@@ -0,0 +1,60 @@
+"""The session resource of a box: `PUT /sessions/{id}`, `PUT /sessions/{id}/rung`, `DELETE /sessions/{id}`."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from foxlift import interface as fl
+
+Id = Annotated[str, Meta(min_length=1, max_length=200, pattern=r"^[A-Za-z0-9._~-]+$")]
+
+
+class SetUpOrder(msgspec.Struct, frozen=True, rename="kebab"):
+    """Body of the set-up. `claim` is the id of the viewer's token, never the token."""
+
+    director: str
+    title: str
+    klass: str = msgspec.field(name="class")
+    tenant: str
+    claim: str
+    paid: bool
+    rung: Annotated[int, Meta(ge=0, le=31)]
+    rate_kb: Annotated[float, Meta(gt=0, le=1e9)]
+    path_token: Id
+    within_ms: float
+
+
+class SetUpDone(msgspec.Struct, frozen=True):
+    """Body of the answer 201. `counter` is the box's number of set-ups with this one."""
+
+    boot: str
+    counter: int
+
+
+class RungOrder(msgspec.Struct, frozen=True, rename="kebab"):
+    """Body of the rung change."""
+
+    rung: Annotated[int, Meta(ge=0, le=31)]
+    rate_kb: Annotated[float, Meta(gt=0, le=1e9)]
+
+
+def read_set_up(body: bytes) -> SetUpDone | None:
+    """The body of a set-up's answer, None where it cannot be read."""
+    try:
+        return msgspec.json.decode(body, type=SetUpDone)
+    except msgspec.MsgspecError:
+        return None
+
+
+def box_outcome(status: int, refusal: str | None) -> fl.Outcome:
+    """What a box's answer other than 201 says of the set-up.
+
+    Only a box's own word in `foxlift-refusal` (`full`, `draining` or `cold`) proves that nothing ran: a bare
+    503 may come from anything between.
+    """
+    if status == 503 and refusal in ("full", "draining", "cold"):
+        return fl.Outcome.FULL
+    return fl.Outcome.ERROR
--- /dev/null
+++ b/foxlift/decide/attempts.py
@@ -0,0 +1,481 @@
+"""The life of each attempt at a box, and of what it may leave behind there.
+
+    state      event                       next       the module is told; what is done
+    (none)     Send, paid                  INTENT     write the intent first
+    (none)     Send, free                  SENT       put
+    INTENT     IntentDurable               SENT       put, unless the box drains by now or the time is up
+    INTENT     IntentFailed, CallOff       (none)     NEVER_SENT: nothing has left this director
+    SENT       Answered 201                PLAYING    Started
+    SENT       Answered otherwise          (none)     FULL where the box says so itself, else ERROR
+    SENT       Lost, never left            (none)     CONNECT_FAILED or NEVER_SENT
+    SENT       Lost, had left              GHOST      RESET, TIMEOUT, ERROR or CANCELLED: it may have run
+    SENT       Drains, never left          (none)     NEVER_SENT: drain heard between choice and send
+    PLAYING    EndedThere                  (none)     OK, or CANCELLED where the viewer left
+    PLAYING    BoxLost                     (none)     RESET
+    PLAYING    CallOff                     GHOST      CANCELLED
+    GHOST      Released, box gone          (none)
+    GHOST      ReleaseFailed               GHOST      release again after a while
+
+A ghost is a set-up that the box may hold for nobody. It is released until the box says so, has another boot
+id, or is gone from the list: a box must never run what no viewer watches.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from foxlift import interface as fl
+
+
+class _State(Enum):
+    INTENT = "intent"
+    SENT = "sent"
+    PLAYING = "playing"
+
+
+class Loss(Enum):
+    """How a call to a box ended without an answer."""
+
+    CONNECT = "no connection"
+    RESET = "connection lost"
+    TIMEOUT = "no answer in time"
+    GARBAGE = "answer cannot be read"
+    CANCELLED = "called off"
+
+
+_LEFT_OUTCOMES = {
+    Loss.CONNECT: fl.Outcome.RESET,
+    Loss.RESET: fl.Outcome.RESET,
+    Loss.TIMEOUT: fl.Outcome.TIMEOUT,
+    Loss.GARBAGE: fl.Outcome.ERROR,
+    Loss.CANCELLED: fl.Outcome.CANCELLED,
+}
+
+
+# ---- Events -----------------------------------------------------------------------------------------------
+@dataclass(frozen=True, slots=True)
+class Send:
+    """The module's SetUp. `until` is when the attempt times out, on the module's clock, ms."""
+
+    session: int
+    attempt: int
+    node: int
+    rung: int
+    paid: bool
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class IntentDurable:
+    """The paid set-up's intent lasts."""
+
+    session: int
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class IntentFailed:
+    """The paid set-up's intent may not last."""
+
+    session: int
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The box answered the set-up. `started`: it runs; else `outcome` says what the answer means."""
+
+    session: int
+    attempt: int
+    started: bool
+    outcome: fl.Outcome
+    counter: int = 0
+    boot: str = ""
+    load: fl.Load | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """The set-up's call has no answer. `left`: any byte of it was handed to a connection."""
+
+    session: int
+    attempt: int
+    loss: Loss
+    left: bool
+
+
+@dataclass(frozen=True, slots=True)
+class CallOff:
+    """Nobody wants the session any more: the viewer left, or the module cancelled or moved it."""
+
+    session: int
+
+
+@dataclass(frozen=True, slots=True)
+class Rung:
+    """The module's SetRung."""
+
+    session: int
+    rung: int
+
+
+@dataclass(frozen=True, slots=True)
+class EndedAtBox:
+    """The box told that a session is over."""
+
+    session: int
+    attempt: int
+    outcome: fl.Outcome
+
+
+@dataclass(frozen=True, slots=True)
+class BoxLost:
+    """What ran at the box is lost, but for what the process `boot` says that it holds.
+
+    Without a boot id there was no word for too long, and all is lost. With one, what another process ran is
+    lost, and of its own what it does not name, judged only by what it had set up when it spoke (`counter`).
+    """
+
+    node: int
+    boot: str | None = None
+    kept: frozenset[str] = frozenset()
+    counter: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Drains:
+    """The list says that the box takes nothing new; `gone`: that it is no more."""
+
+    node: int
+    gone: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Serves:
+    """The list says that the box takes set-ups."""
+
+    node: int
+
+
+@dataclass(frozen=True, slots=True)
+class Released:
+    """The box confirmed that it does not hold the set-up."""
+
+    set_up: str
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseFailed:
+    """The release had no answer."""
+
+    set_up: str
+
+
+Event = (
+    Send
+    | IntentDurable
+    | IntentFailed
+    | Answered
+    | Lost
+    | CallOff
+    | Rung
+    | EndedAtBox
+    | BoxLost
+    | Drains
+    | Serves
+    | Released
+    | ReleaseFailed
+)
+
+
+# ---- Actions ----------------------------------------------------------------------------------------------
+@dataclass(frozen=True, slots=True)
+class WriteIntent:
+    """Make the intent durable, then report IntentDurable."""
+
+    session: int
+    attempt: int
+    node: int
+
+
+@dataclass(frozen=True, slots=True)
+class Put:
+    """Send the set-up to the box; it times out at `until`."""
+
+    session: int
+    attempt: int
+    node: int
+    rung: int
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class AbortPut:
+    """Stop the set-up's call, or only if nothing of it has left; what is stopped ends in Lost."""
+
+    session: int
+    attempt: int
+    if_unsent: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class PutRung:
+    """Tell the box the rung of a session that plays."""
+
+    session: int
+    attempt: int
+    node: int
+    rung: int
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Delete the set-up at the box; `again`: an earlier try had no answer, wait before this one."""
+
+    set_up: str
+    node: int
+    again: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class TellStarted:
+    """The module's Started; the box's load report is news of the moment."""
+
+    session: int
+    attempt: int
+    node: int
+    load: fl.Load | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class TellEnded:
+    """The module's Ended. `playing`: the set-up had been done."""
+
+    session: int
+    attempt: int
+    node: int
+    outcome: fl.Outcome
+    playing: bool
+    load: fl.Load | None = None
+
+
+Action = WriteIntent | Put | AbortPut | PutRung | Release | TellStarted | TellEnded
+
+
+@dataclass(slots=True)
+class _Attempt:
+    session: int
+    attempt: int
+    node: int
+    rung: int
+    paid: bool
+    until: float
+    state: _State
+    sent_rung: int = -1
+    wanted: bool = True
+    draining: bool = False
+    boot: str = ""
+    counter: int = 0
+
+
+class Attempts:
+    """Every attempt of this director that is out, plays, or may have left something at a box."""
+
+    def __init__(self, prefix: str) -> None:
+        """`prefix` tells this director's set-ups, and this run of it, from all others."""
+        self._prefix = prefix
+        self._live: dict[int, _Attempt] = {}  # by session: at most one attempt is out or plays
+        self._ghosts: dict[str, int] = {}  # set-up id to box
+        self._by_node: dict[int, set[int]] = {}  # sessions with a live attempt at the box
+        self._closed: set[int] = set()  # boxes that drain or are gone
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        """Take one event in; `now` in ms on the module's clock."""
+        match event:
+            case Send():
+                return self._send(event)
+            case Serves(node):
+                self._closed.discard(node)
+                return []
+            case Drains():
+                return self._drains(event)
+            case BoxLost():
+                return self._box_lost(event)
+            case CallOff(session):
+                return self._call_off(session)
+            case Rung():
+                return self._set_rung(event)
+            case Released(set_up):
+                self._ghosts.pop(set_up, None)
+                return []
+            case ReleaseFailed(set_up):
+                held = self._ghosts.get(set_up)
+                return [] if held is None else [Release(set_up, held, True)]
+        found = self._live.get(event.session)
+        if found is None or found.attempt != event.attempt:
+            return self._of_a_ghost(event)
+        match event:
+            case IntentDurable():
+                return self._durable(now, found)
+            case IntentFailed():
+                return self._end(found, fl.Outcome.NEVER_SENT)
+            case Answered():
+                return self._answered(found, event)
+            case Lost():
+                return self._lost(found, event)
+            case EndedAtBox():
+                return self._end(found, event.outcome) if found.state is _State.PLAYING else []
+
+    # ---- What is known ------------------------------------------------------------------------------------
+    def set_up_id(self, session: int, attempt: int) -> str:
+        """The name of an attempt at its box."""
+        return f"{self._prefix}-{session}-{attempt}"
+
+    def plays_at(self, session: int) -> tuple[int, int] | None:
+        """Box and attempt number of a session that plays."""
+        found = self._live.get(session)
+        return (found.node, found.attempt) if found is not None and found.state is _State.PLAYING else None
+
+    def at(self, node: int) -> int:
+        """How many attempts are out or play at a box."""
+        return len(self._by_node.get(node, ()))
+
+    def holds(self, session: int) -> bool:
+        """Whether an attempt of the session is out or plays."""
+        return session in self._live
+
+    @property
+    def live(self) -> int:
+        return len(self._live)
+
+    @property
+    def ghosts(self) -> int:
+        return len(self._ghosts)
+
+    # ---- Way there ----------------------------------------------------------------------------------------
+    def _send(self, event: Send) -> list[Action]:
+        if event.session in self._live:
+            # rule 2: never two out at once, whatever the caller thinks
+            raise RuntimeError(f"session {event.session} has an attempt out already")
+        state = _State.INTENT if event.paid else _State.SENT
+        made = _Attempt(event.session, event.attempt, event.node, event.rung, event.paid, event.until, state)
+        self._live[event.session] = made
+        self._by_node.setdefault(event.node, set()).add(event.session)
+        if event.paid:
+            return [WriteIntent(event.session, event.attempt, event.node)]
+        made.sent_rung = event.rung
+        return [Put(event.session, event.attempt, event.node, event.rung, event.until)]
+
+    def _durable(self, now: float, found: _Attempt) -> list[Action]:
+        if found.state is not _State.INTENT:
+            return []
+        # the list may have changed, and the viewer left, while the disk was slow
+        if found.node in self._closed or now >= found.until or not found.wanted:
+            return self._end(found, fl.Outcome.NEVER_SENT)
+        found.state, found.sent_rung = _State.SENT, found.rung
+        return [Put(found.session, found.attempt, found.node, found.rung, found.until)]
+
+    def _answered(self, found: _Attempt, event: Answered) -> list[Action]:
+        if found.state is not _State.SENT:
+            return []
+        if not event.started:
+            return self._end(found, event.outcome, event.load)
+        if not found.wanted:  # the viewer left while this answer was on its way
+            return self._end(found, fl.Outcome.CANCELLED, event.load, ghost=True)
+        found.state, found.boot, found.counter = _State.PLAYING, event.boot, event.counter
+        started: list[Action] = [TellStarted(found.session, found.attempt, found.node, event.load)]
+        if found.rung != found.sent_rung:
+            started.append(PutRung(found.session, found.attempt, found.node, found.rung))
+        return started
+
+    def _lost(self, found: _Attempt, event: Lost) -> list[Action]:
+        if found.state is not _State.SENT:
+            return []
+        if event.left:
+            return self._end(found, _LEFT_OUTCOMES[event.loss], ghost=True)
+        refused = event.loss is Loss.CONNECT
+        return self._end(found, fl.Outcome.CONNECT_FAILED if refused else fl.Outcome.NEVER_SENT)
+
+    def _drains(self, event: Drains) -> list[Action]:
+        """Only what has not left is stopped: what has left was sent before the drain was heard."""
+        self._closed.add(event.node)
+        actions: list[Action] = []
+        for session in sorted(self._by_node.get(event.node, ())):
+            found = self._live[session]
+            if found.state is _State.SENT and not found.draining:
+                found.draining = True
+                actions.append(AbortPut(found.session, found.attempt, if_unsent=True))
+        if event.gone:
+            self._ghosts = {ghost: node for ghost, node in self._ghosts.items() if node != event.node}
+        return actions
+
+    # ---- Way back -----------------------------------------------------------------------------------------
+    def _call_off(self, session: int) -> list[Action]:
+        found = self._live.get(session)
+        if found is None:
+            return []
+        found.wanted = False
+        if found.state is _State.INTENT:
+            return []  # the record is being written: it ends as never sent when that is told
+        if found.state is _State.SENT:
+            return [AbortPut(found.session, found.attempt)]
+        return self._end(found, fl.Outcome.CANCELLED, ghost=True)
+
+    def _set_rung(self, event: Rung) -> list[Action]:
+        found = self._live.get(event.session)
+        if found is None or found.rung == event.rung:
+            return []
+        found.rung = event.rung
+        if found.state is not _State.PLAYING:
+            return []  # the set-up that is still to leave takes it along
+        return [PutRung(found.session, found.attempt, found.node, event.rung)]
+
+    def _box_lost(self, event: BoxLost) -> list[Action]:
+        actions: list[Action] = []
+        for session in sorted(self._by_node.get(event.node, ())):
+            found = self._live[session]
+            if found.state is _State.PLAYING and not self._held(found, event):
+                actions += self._end(found, fl.Outcome.RESET)
+        for set_up in sorted(event.kept):
+            if set_up not in self._ghosts and not self._is_live(set_up, event.node):
+                # the box holds something that nobody here knows of: an answer was lost with its director
+                self._ghosts[set_up] = event.node
+                actions.append(Release(set_up, event.node))
+        return actions
+
+    def _held(self, found: _Attempt, event: BoxLost) -> bool:
+        if event.boot is None or found.boot != event.boot:
+            return False
+        named = self.set_up_id(found.session, found.attempt) in event.kept
+        return named or found.counter > event.counter
+
+    def _is_live(self, set_up: str, node: int) -> bool:
+        prefix, _, attempt = set_up.rpartition("-")
+        prefix, _, session = prefix.rpartition("-")
+        if prefix != self._prefix or not session.isdigit() or not attempt.isdigit():
+            return False
+        found = self._live.get(int(session))
+        return found is not None and found.attempt == int(attempt) and found.node == node
+
+    def _of_a_ghost(self, event: IntentDurable | IntentFailed | Answered | Lost | EndedAtBox) -> list[Action]:
+        """A late word on what was given up; a box that says it is over needs no release."""
+        if isinstance(event, EndedAtBox):
+            self._ghosts.pop(self.set_up_id(event.session, event.attempt), None)
+        return []
+
+    def _end(
+        self, found: _Attempt, outcome: fl.Outcome, load: fl.Load | None = None, ghost: bool = False
+    ) -> list[Action]:
+        playing = found.state is _State.PLAYING
+        del self._live[found.session]
+        self._by_node[found.node].discard(found.session)
+        if not self._by_node[found.node]:
+            del self._by_node[found.node]
+        told: list[Action] = [TellEnded(found.session, found.attempt, found.node, outcome, playing, load)]
+        if ghost:
+            set_up = self.set_up_id(found.session, found.attempt)
+            self._ghosts[set_up] = found.node
+            # released first: the module may set the session up elsewhere at once
+            told.insert(0, Release(set_up, found.node))
+        return told
--- /dev/null
+++ b/foxlift/decide/claims.py
@@ -0,0 +1,314 @@
+"""Which request with a token becomes a new session, joins one, reloads one, or is answered at once.
+
+The token's id is what is paid for. Its life, at one director:
+
+    state      event                      next       what is done
+    (unknown)  Requested                  ASKED      open a session
+    ASKED      Requested                  ASKED      join: it gets the same answer
+    ASKED      HungUp, others wait        ASKED      nothing
+    ASKED      HungUp, nobody waits       LEFT       withdraw the session
+    ASKED      Plays                      PLAYING    show the manifest to all who wait
+    ASKED      Refused                    (unknown)  tell all who wait; a further try is harmless
+    ASKED      Failed                     SPENT      paid; free: (unknown). Tell all who wait
+    PLAYING    Requested                  PLAYING    show the manifest: a reload is no new session
+    PLAYING    Over                       SPENT      paid; free: (unknown)
+    LEFT       Requested                  LEFT       free: wait a little; paid: failed, it may be running
+    LEFT       Over, provably never ran   (unknown)
+    LEFT       Over                       SPENT      paid; free: (unknown)
+    SPENT      Requested                  SPENT      failed where it may have run unseen, gone where it played
+
+A token that has expired opens no session, but its holder may reload the one that it opened. What is spent is
+kept until the token's own expiry: after that it could open nothing anyway.
+"""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import dataclass, field
+from enum import Enum
+
+MAX_WAITING = 8  # requests that may wait on one token: a player has one, two in a race; more is a flood
+
+
+class _State(Enum):
+    ASKED = "asked"
+    PLAYING = "playing"
+    LEFT = "left"
+    SPENT = "spent"
+
+
+class Why(Enum):
+    """Why a request is answered without a session."""
+
+    EXPIRED = "the token has expired"
+    FAILED = "an earlier set-up for this token may have run"
+    PLAYED = "the session of this token is over"
+    BUSY = "the session of this token is being called off"
+    FLOOD = "too many requests wait on this token"
+
+
+# ---- Events -----------------------------------------------------------------------------------------------
+@dataclass(frozen=True, slots=True)
+class Requested:
+    """A request with a verified token."""
+
+    request: int
+    token: str
+    paid: bool
+    expires: float  # Unix seconds
+    expired: bool
+
+
+@dataclass(frozen=True, slots=True)
+class HungUp:
+    """The request's client left before its answer."""
+
+    request: int
+
+
+@dataclass(frozen=True, slots=True)
+class Plays:
+    """The session's set-up is done."""
+
+    session: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The module refused the session: nothing of it ran, or it may be repeated."""
+
+    session: int
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """The module gave the session up, and it may have run."""
+
+    session: int
+
+
+@dataclass(frozen=True, slots=True)
+class Over:
+    """Nothing of the session is out or playing any more. `ran`: False only where that is proved."""
+
+    session: int
+    ran: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Recalled:
+    """A spent token as the record of paid set-ups shows it at the start."""
+
+    token: str
+    expires: float
+    played: bool
+
+
+Event = Requested | HungUp | Plays | Refused | Failed | Over | Recalled
+
+
+# ---- Actions ----------------------------------------------------------------------------------------------
+@dataclass(frozen=True, slots=True)
+class Open:
+    """Ask the module for a session on behalf of this request."""
+
+    session: int
+    request: int
+
+
+@dataclass(frozen=True, slots=True)
+class Show:
+    """Answer with the session's manifest."""
+
+    request: int
+    session: int
+
+
+@dataclass(frozen=True, slots=True)
+class TellRefused:
+    """Answer that the session is refused."""
+
+    request: int
+    session: int
+
+
+@dataclass(frozen=True, slots=True)
+class TellFailed:
+    """Answer that the session failed."""
+
+    request: int
+    session: int
+
+
+@dataclass(frozen=True, slots=True)
+class TurnDown:
+    """Answer at once, without a session."""
+
+    request: int
+    why: Why
+
+
+@dataclass(frozen=True, slots=True)
+class Withdraw:
+    """Tell the module that the viewer walked away."""
+
+    session: int
+
+
+Action = Open | Show | TellRefused | TellFailed | TurnDown | Withdraw
+
+
+@dataclass(slots=True)
+class _Claim:
+    token: str
+    paid: bool
+    expires: float
+    session: int
+    state: _State = _State.ASKED
+    waiting: list[int] = field(default_factory=list)
+    played: bool = False
+
+
+class Claims:
+    """Every token that this director has to remember."""
+
+    def __init__(self) -> None:
+        self._by_token: dict[str, _Claim] = {}
+        self._by_session: dict[int, _Claim] = {}
+        self._by_request: dict[int, _Claim] = {}
+        self._spent: list[tuple[float, str]] = []  # heap by expiry
+        self._last_session = 0
+
+    def __len__(self) -> int:
+        return len(self._by_token)
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        """Take one event in. `now` is Unix seconds, used only to forget what has expired."""
+        self._forget_expired(now)
+        match event:
+            case Requested():
+                return self._requested(event)
+            case HungUp():
+                return self._hung_up(event.request)
+            case Recalled():
+                self._recalled(event)
+                return []
+        claim = self._by_session.get(event.session)
+        if claim is None:
+            return []
+        match event:
+            case Plays():
+                return self._plays(claim)
+            case Refused():
+                return self._refused(claim)
+            case Failed():
+                return self._failed(claim)
+            case Over():
+                self._over(claim, event.ran)
+        return []
+
+    def is_new(self, token: str) -> bool:
+        """Whether a request with this token would open a session."""
+        return token not in self._by_token
+
+    def token_of(self, session: int) -> str | None:
+        """The token that a session was opened with, while the session is known."""
+        claim = self._by_session.get(session)
+        return None if claim is None else claim.token
+
+    # ---- Requests -----------------------------------------------------------------------------------------
+    def _requested(self, event: Requested) -> list[Action]:
+        claim = self._by_token.get(event.token)
+        if claim is None:
+            if event.expired:
+                return [TurnDown(event.request, Why.EXPIRED)]
+            return self._open(event)
+        match claim.state:
+            case _State.ASKED:
+                if len(claim.waiting) >= MAX_WAITING:
+                    return [TurnDown(event.request, Why.FLOOD)]
+                claim.waiting.append(event.request)
+                self._by_request[event.request] = claim
+                return []
+            case _State.PLAYING:
+                return [Show(event.request, claim.session)]
+            case _State.LEFT:
+                return [TurnDown(event.request, Why.FAILED if claim.paid else Why.BUSY)]
+            case _State.SPENT:
+                return [TurnDown(event.request, Why.PLAYED if claim.played else Why.FAILED)]
+
+    def _open(self, event: Requested) -> list[Action]:
+        self._last_session += 1
+        claim = _Claim(event.token, event.paid, event.expires, self._last_session, waiting=[event.request])
+        self._by_token[event.token] = claim
+        self._by_session[claim.session] = claim
+        self._by_request[event.request] = claim
+        return [Open(claim.session, event.request)]
+
+    def _hung_up(self, request: int) -> list[Action]:
+        claim = self._by_request.pop(request, None)
+        if claim is None or request not in claim.waiting:
+            return []
+        claim.waiting.remove(request)
+        if claim.waiting or claim.state is not _State.ASKED:
+            return []
+        claim.state = _State.LEFT
+        return [Withdraw(claim.session)]
+
+    def _release(self, claim: _Claim) -> list[int]:
+        waiting, claim.waiting = claim.waiting, []
+        for request in waiting:
+            self._by_request.pop(request, None)
+        return waiting
+
+    # ---- Sessions -----------------------------------------------------------------------------------------
+    def _plays(self, claim: _Claim) -> list[Action]:
+        if claim.state is not _State.ASKED:
+            return []  # its viewer left while the answer was on its way
+        claim.state, claim.played = _State.PLAYING, True
+        return [Show(request, claim.session) for request in self._release(claim)]
+
+    def _refused(self, claim: _Claim) -> list[Action]:
+        if claim.state is _State.ASKED:
+            answers: list[Action] = [TellRefused(r, claim.session) for r in self._release(claim)]
+            self._drop(claim)
+            return answers
+        return []
+
+    def _failed(self, claim: _Claim) -> list[Action]:
+        if claim.state is not _State.ASKED:
+            return []
+        answers: list[Action] = [TellFailed(r, claim.session) for r in self._release(claim)]
+        self._spend(claim)
+        return answers
+
+    def _over(self, claim: _Claim, ran: bool) -> None:
+        """An attempt's end while the module still answers (ASKED) decides nothing: the answer does."""
+        if claim.state is _State.PLAYING or (claim.state is _State.LEFT and ran):
+            self._spend(claim)
+        elif claim.state is _State.LEFT:
+            self._drop(claim)
+
+    def _spend(self, claim: _Claim) -> None:
+        if not claim.paid:
+            self._drop(claim)
+            return
+        claim.state = _State.SPENT
+        self._by_session.pop(claim.session, None)
+        heapq.heappush(self._spent, (claim.expires, claim.token))
+
+    def _drop(self, claim: _Claim) -> None:
+        self._by_session.pop(claim.session, None)
+        self._by_token.pop(claim.token, None)
+
+    def _recalled(self, event: Recalled) -> None:
+        claim = _Claim(event.token, True, event.expires, 0, _State.SPENT, played=event.played)
+        self._by_token[event.token] = claim
+        heapq.heappush(self._spent, (event.expires, event.token))
+
+    def _forget_expired(self, now: float) -> None:
+        while self._spent and self._spent[0][0] <= now:
+            _, token = heapq.heappop(self._spent)
+            claim = self._by_token.get(token)
+            if claim is not None and claim.state is _State.SPENT:
+                del self._by_token[token]
--- /dev/null
+++ b/foxlift/director/core.py
@@ -0,0 +1,438 @@
+"""One director without its sockets: protocol events in, things to do out.
+
+The core decides nothing of who plays where: it tells the module (`foxlift/logic.py`) each event in the order
+in which it came, and carries out what the module returns. Beside the module stand the machines of
+`foxlift.decide` and `foxlift.membership`; what one gives out is fed to the next within the same call, so that
+a drain heard now is known to all of them before the next event.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from hashlib import blake2b
+
+from foxlift import interface as fl
+from foxlift.boxes import Delivered, EndedThere, Hello, LinkUse, RungThere
+from foxlift.config import DirectorConfig, module_settings
+from foxlift.decide import attempts as at
+from foxlift.decide import claims as cl
+from foxlift.decide import links as ln
+from foxlift.director import events as ev
+from foxlift.logic import Director
+from foxlift.membership import (
+    BoxEntry,
+    BoxList,
+    CacheList,
+    ListAnswer,
+    ListFailed,
+    ListWatch,
+    Poll,
+    PollDue,
+    PollLater,
+    TellList,
+)
+from foxlift.store import Verdict
+
+ENDED = {
+    "done": fl.Outcome.OK,
+    "left": fl.Outcome.CANCELLED,
+    "moved": fl.Outcome.CANCELLED,
+    "lost": fl.Outcome.RESET,
+}
+
+
+class Core:
+    """A director. `run` tells this process from the director's earlier ones; `secret` makes path tokens."""
+
+    def __init__(
+        self,
+        config: DirectorConfig,
+        cached: BoxList | None,
+        run: str,
+        secret: Callable[[], str],
+        trace: Callable[[float, fl.Event, list[fl.Action]], None] | None = None,
+        make: Callable[[fl.Settings, int], Director] = Director,
+    ) -> None:
+        self.config, self.run = config, run
+        self.settings = module_settings(config)
+        self.module = make(self.settings, config.seed)
+        self.claims = cl.Claims()
+        self.attempts = at.Attempts(f"{config.name}.{run}")
+        self.watch = ListWatch(cached, config.box_list.retry_ms, config.seed)
+        self.links: dict[int, ln.Link] = {}
+        self.boxes: dict[int, BoxEntry] = {}
+        self.sessions: dict[int, ev.Session] = {}
+        self.stopping = False
+        self._secret, self._trace = secret, trace
+        self._classes = {klass.name: k for k, klass in enumerate(self.settings.classes)}
+        self._tenants = {tenant.name: k for k, tenant in enumerate(self.settings.tenants)}
+        self._zones = {name: k for k, name in enumerate(config.fleet.zones)}
+        self._kinds = {name: k for k, name in enumerate(config.fleet.kinds)}
+        self._asked: dict[int, ev.ManifestAsked] = {}  # by request, only within the call that opens a session
+        self._now = 0.0
+        self._out: list[ev.Action] = []
+        self._events: deque[fl.Event] = deque()  # what the module is still to be told, in order
+
+    def knows_class(self, name: str) -> bool:
+        """Whether a token's class is one of the fleet's."""
+        return name in self._classes
+
+    def knows_tenant(self, name: str) -> bool:
+        """Whether a token's tenant is one of the fleet's; a fleet without tenants takes any."""
+        return not self._tenants or name in self._tenants
+
+    def handle(self, now: float, event: ev.Event) -> list[ev.Action]:
+        """Take one event in. `now` is Unix time in ms as the module's clock keeps it: it never steps back."""
+        self._now, self._out = now, []
+        match event:
+            case ev.ManifestAsked():
+                self._manifest_asked(event)
+            case ev.ClientGone(request):
+                self._claim(cl.HungUp(request))
+            case ev.Notice(node, notice):
+                self._notice(node, notice)
+            case ev.StreamBroken(node):
+                self._link(node, ln.Broken())
+            case ev.LinkTimer(node, timer):
+                self._link(node, timer)
+            case ev.TimerDue(token):
+                self._tell(fl.Wake(token))
+            case ev.Remembered(known):
+                played = known.verdict in (Verdict.STARTED, Verdict.ENDED)
+                self._claim(cl.Recalled(known.token, known.expires, played))
+            case PollDue() | ListAnswer() | ListFailed():
+                self._list(event)
+            case (
+                at.IntentDurable()
+                | at.IntentFailed()
+                | at.Answered()
+                | at.Lost()
+                | at.Released()
+                | at.ReleaseFailed()
+            ):
+                self._attempt(event)
+        return self._out
+
+    @property
+    def waiting(self) -> int:
+        """Sessions that are asked for and not answered."""
+        return sum(1 for session in self.sessions.values() if not session.started)
+
+    # ---- Requests -----------------------------------------------------------------------------------------
+    def _manifest_asked(self, asked: ev.ManifestAsked) -> None:
+        token = asked.token
+        paid = self.settings.classes[self._classes[token.klass]].repeat is not fl.Repeat.FREE
+        self._asked[asked.request] = asked
+        self._claim(cl.Requested(asked.request, token.id, paid, token.expires, asked.expired))
+        self._asked.pop(asked.request, None)
+
+    def _claim(self, event: cl.Event) -> None:
+        for action in self.claims.handle(self._now / 1000, event):
+            match action:
+                case cl.Open(session, request):
+                    self._open(session, self._asked[request])
+                case cl.Show(request, session):
+                    self._out.append(ev.ShowManifest(request, self.sessions[session]))
+                case cl.TellFailed(request, session):
+                    self._out.append(ev.AnswerFailed(request, session))
+                case cl.TurnDown(request, why):
+                    self._out.append(ev.AnswerDown(request, why))
+                case cl.Withdraw(session):
+                    self._withdraw(session)
+                case cl.TellRefused():
+                    raise AssertionError("refusals are told by _refuse")
+
+    def _open(self, number: int, asked: ev.ManifestAsked) -> None:
+        token, title = asked.token, asked.title
+        klass = self._classes[token.klass]
+        terms = self.settings.classes[klass]
+        session = ev.Session(
+            number, token, title, klass, terms.repeat is not fl.Repeat.FREE, self._secret(), rung=terms.floor
+        )
+        self.sessions[number] = session
+        # the answer has a way to go: what the network takes of the viewer's time is not the module's to spend
+        ttl_ms = max(terms.deadline_ms - asked.waited_ms - self.config.front.answer_margin_ms, 1.0)
+        best = terms.top if token.best_rung is None else min(token.best_rung, terms.top)
+        self._tell(
+            fl.Ask(
+                session=number,
+                klass=klass,
+                title=title.number,
+                first_cell=title.first_cell,
+                holders=title.holders,
+                best_rung=best,
+                ttl_ms=ttl_ms,
+                tenant=self._tenants.get(token.tenant, 0),
+                viewer=int.from_bytes(blake2b(token.viewer.encode(), digest_size=6).digest(), "big"),
+                length_ms=None if token.length_s is None else token.length_s * 1000,
+            )
+        )
+
+    def _withdraw(self, number: int) -> None:
+        session = self.sessions[number]
+        session.withdrawn = True
+        self._tell(fl.Withdrawn(number))
+        self._attempt(at.CallOff(number))
+        if number in self.sessions and not self.attempts.holds(number):
+            self._over(session, ran=False)
+
+    # ---- The module ---------------------------------------------------------------------------------------
+    def _tell(self, event: fl.Event) -> None:
+        """Tell the module; what it returns is carried out whole before it is told the next."""
+        self._events.append(event)
+        if len(self._events) > 1:
+            return  # told from inside an action: its turn comes
+        while self._events:
+            actions = self.module.handle(self._now, self._events[0])
+            if self._trace is not None:
+                self._trace(self._now, self._events[0], actions)
+            for action in actions:
+                self._carry_out(action)
+            self._events.popleft()
+
+    def _carry_out(self, action: fl.Action) -> None:
+        match action:
+            case fl.SetRung(number, rung):
+                session = self.sessions.get(number)
+                if session is not None:
+                    session.rung = rung
+                    self._attempt(at.Rung(number, rung))
+            case fl.SetUp():
+                self._set_up(action)
+            case fl.Refuse(number, come_back_ms):
+                self._refuse(number, come_back_ms)
+            case fl.Fail(number):
+                self._claim(cl.Failed(number))
+                self._forget(number)
+            case fl.SetTimer(delay_ms, token):
+                self._out.append(ev.StartTimer(delay_ms, ev.TimerDue(token)))
+            case fl.Cancel(number) | fl.Move(number):
+                self._attempt(at.CallOff(number))
+            case fl.Log(text):
+                self._out.append(ev.Say("module", detail=text))
+            case fl.WatchList() | fl.FetchList():
+                pass  # the long poll is always under way
+            case fl.Probe():
+                self._out.append(ev.Say("probe not offered"))
+
+    def _set_up(self, action: fl.SetUp) -> None:
+        session = self.sessions[action.session]
+        session.node, session.attempt = action.node, session.attempts
+        session.attempts += 1
+        until = self._now + action.within_ms
+        self._link_wanted(action.node)
+        self._attempt(
+            at.Send(action.session, session.attempt, action.node, session.rung, session.paid, until)
+        )
+
+    def _refuse(self, number: int, come_back_ms: float) -> None:
+        for answer in self.claims.handle(self._now / 1000, cl.Refused(number)):
+            if isinstance(answer, cl.TellRefused):
+                self._out.append(ev.AnswerRefused(answer.request, number, come_back_ms))
+        self._forget(number)
+
+    def _forget(self, number: int) -> None:
+        """A session that ended without playing; one whose viewer left is dropped by `_over`."""
+        session = self.sessions.get(number)
+        if session is not None and not session.withdrawn:
+            del self.sessions[number]
+
+    def _over(self, session: ev.Session, ran: bool) -> None:
+        self.sessions.pop(session.number, None)
+        self._claim(cl.Over(session.number, ran))
+
+    # ---- Attempts -----------------------------------------------------------------------------------------
+    def _rate(self, session: ev.Session, rung: int) -> float:
+        return self.settings.ladder_kb[rung] * self.settings.classes[session.klass].rate_scale
+
+    def _attempt(self, event: at.Event) -> None:
+        for action in self.attempts.handle(self._now, event):
+            match action:
+                case at.WriteIntent(number, attempt, node):
+                    session = self.sessions[number]
+                    box = self.boxes[node].name
+                    set_up = self.attempts.set_up_id(number, attempt)
+                    self._out.append(ev.KeepIntent(number, attempt, session.token, box, set_up))
+                case at.Put():
+                    self._put(action)
+                case at.PutRung(number, attempt, node, rung):
+                    set_up = self.attempts.set_up_id(number, attempt)
+                    rate = self._rate(self.sessions[number], rung)
+                    self._out.append(ev.ChangeRung(set_up, node, rung, rate))
+                case at.TellStarted():
+                    self._started(action)
+                case at.TellEnded():
+                    self._ended(action)
+                case at.AbortPut() | at.Release():
+                    self._out.append(action)
+
+    def _put(self, put: at.Put) -> None:
+        session = self.sessions[put.session]
+        self._out.append(
+            ev.PutSetUp(
+                session=session,
+                attempt=put.attempt,
+                set_up=self.attempts.set_up_id(put.session, put.attempt),
+                node=put.node,
+                rung=put.rung,
+                rate_kb=self._rate(session, put.rung),
+                timeout_ms=max(put.until - self._now, 1.0),
+            )
+        )
+
+    def _started(self, told: at.TellStarted) -> None:
+        session = self.sessions[told.session]
+        session.started = self._now
+        if session.paid:
+            self._out.append(ev.SettleIntent(session.token.id, Verdict.STARTED))
+        self._tell(fl.Started(told.session, told.node, told.attempt, 0.0))
+        if told.load is not None:
+            for kind, value in (
+                (fl.NoteKind.LINK, told.load.link),
+                (fl.NoteKind.LINK, told.load.link_up_to_one if told.load.link is None else None),
+                (fl.NoteKind.UPLINK, told.load.uplink),
+            ):
+                if value is not None:
+                    self._tell(fl.Note(told.session, told.node, kind, value))
+        self._claim(cl.Plays(told.session))
+
+    def _ended(self, told: at.TellEnded) -> None:
+        session = self.sessions[told.session]
+        ran = told.playing or not told.outcome.proves_unrun
+        if session.paid:
+            verdict = Verdict.ENDED if told.playing else Verdict.MAY_HAVE_RUN if ran else Verdict.NEVER_RAN
+            self._out.append(ev.SettleIntent(session.token.id, verdict))
+        final = told.playing or session.withdrawn
+        if told.playing or told.outcome is not fl.Outcome.OK:
+            detail = f"{told.outcome.value}{', was playing' if told.playing else ''}"
+            self._out.append(ev.Say("attempt ended", told.session, self._box_name(told.node), detail))
+        if final:
+            self._over(session, ran)
+        self._tell(fl.Ended(told.session, told.node, told.attempt, told.outcome, final, 0.0, told.load))
+        self._link_perhaps_unwanted(told.node)
+
+    def _box_name(self, node: int) -> str:
+        box = self.boxes.get(node)
+        return "?" if box is None else box.name
+
+    # ---- Links --------------------------------------------------------------------------------------------
+    def _link_wanted(self, node: int) -> None:
+        if node not in self.links:
+            config = self.config.boxes
+            self.links[node] = ln.Link(config.notice_retry_ms, config.lost_after_ms)
+        self._link(node, ln.Wanted())
+
+    def _link_perhaps_unwanted(self, node: int) -> None:
+        """A stream without sessions is kept while its box is listed: the next session is not far."""
+        if node not in self.boxes and node in self.links and not self.attempts.at(node):
+            self._link(node, ln.Unwanted())
+            del self.links[node]
+
+    def _link(self, node: int, event: ln.Event) -> None:
+        link = self.links.get(node)
+        if link is None:
+            return
+        for action in link.handle(event):
+            match action:
+                case ln.OpenStream():
+                    self._out.append(ev.OpenNotices(node))
+                case ln.CloseStream():
+                    self._out.append(ev.CloseNotices(node))
+                case ln.Retry(delay_ms, turn):
+                    self._out.append(ev.StartTimer(delay_ms, ev.LinkTimer(node, ln.RetryDue(turn))))
+                case ln.Await(delay_ms, turn):
+                    self._out.append(ev.StartTimer(delay_ms, ev.LinkTimer(node, ln.LossDue(turn))))
+                case ln.AllLost():
+                    self._out.append(ev.Say("box silent", node=self._box_name(node)))
+                    self._attempt(at.BoxLost(node))
+                case ln.Compare():
+                    pass  # hello itself carries what is compared: see _notice
+
+    def _notice(self, node: int, notice: object) -> None:
+        match notice:
+            case Hello(boot, counter, sessions):
+                self._link(node, ln.Greeted())
+                self._attempt(at.BoxLost(node, boot, frozenset(sessions), counter))
+            case Delivered(set_up, share):
+                self._note(node, set_up, fl.NoteKind.DELIVERED, share)
+            case LinkUse(set_up, link, uplink):
+                self._note(node, set_up, fl.NoteKind.LINK, link)
+                if uplink is not None:
+                    self._note(node, set_up, fl.NoteKind.UPLINK, uplink)
+            case RungThere(set_up, rung):
+                self._note(node, set_up, fl.NoteKind.RUNG, float(rung))
+            case EndedThere(set_up, how):
+                found = self._own(set_up)
+                if found is not None:
+                    outcome = ENDED.get(how, fl.Outcome.RESET)
+                    self._attempt(at.EndedAtBox(*found, outcome))
+
+    def _own(self, set_up: str) -> tuple[int, int] | None:
+        """Session and attempt of a set-up of this run."""
+        prefix, _, attempt = set_up.rpartition("-")
+        _, _, session = prefix.rpartition("-")
+        if not (session.isdigit() and attempt.isdigit()):
+            return None
+        found = int(session), int(attempt)
+        return found if self.attempts.set_up_id(*found) == set_up else None
+
+    def _note(self, node: int, set_up: str, kind: fl.NoteKind, value: float) -> None:
+        found = self._own(set_up)
+        if found is not None and self.attempts.plays_at(found[0]) == (node, found[1]):
+            self._tell(fl.Note(found[0], node, kind, value))
+
+    # ---- Box list -----------------------------------------------------------------------------------------
+    def _list(self, event: PollDue | ListAnswer | ListFailed) -> None:
+        for action in self.watch.handle(event):
+            match action:
+                case TellList():
+                    self._listed(action)
+                case CacheList(boxes):
+                    self._out.append(ev.SaveList(boxes))
+                case PollLater(delay_ms):
+                    self._out.append(ev.StartTimer(delay_ms, PollDue()))
+                case Poll():
+                    self._out.append(action)
+
+    def _listed(self, told: TellList) -> None:
+        if told.kind is fl.ListKind.FAILED:
+            self._out.append(ev.Say("box list not heard"))
+            self._tell(fl.NodeList(fl.ListKind.FAILED))
+            return
+        infos = [info for info in map(self._info, told.boxes) if info is not None]
+        closed: list[tuple[int, bool]] = []
+        if told.kind is not fl.ListKind.DELTA:
+            named = {info.node for info in infos}
+            closed += [(node, True) for node in self.boxes if node not in named]
+            self.boxes = {node: box for node, box in self.boxes.items() if node in named}
+        by_number = {box.number: box for box in told.boxes}
+        for info in infos:
+            if info.status is fl.Status.GONE:
+                self.boxes.pop(info.node, None)
+                closed.append((info.node, True))
+                continue
+            self.boxes[info.node] = by_number[info.node]
+            if info.status is fl.Status.DRAINING:
+                closed.append((info.node, False))
+            else:
+                self._attempt(at.Serves(info.node))
+        # the module first: what is stopped below may be placed anew at once, and not at a box that drains
+        self._tell(fl.NodeList(told.kind, tuple(infos)))
+        for node, gone in closed:
+            self._attempt(at.Drains(node, gone))
+            self._link_perhaps_unwanted(node)
+
+    def _info(self, box: BoxEntry) -> fl.NodeInfo | None:
+        if box.zone not in self._zones or box.kind not in self._kinds or box.cell >= self.settings.cells:
+            self._out.append(ev.Say("box not usable", node=box.name, detail="unknown zone, kind or cell"))
+            return None
+        return fl.NodeInfo(
+            node=box.number,
+            zone=self._zones[box.zone],
+            kind=self._kinds[box.kind],
+            cell=box.cell,
+            status=box.status,
+            weight=box.weight,
+            started_ms=box.started_unix_ms,
+        )
--- /dev/null
+++ b/foxlift/director/daemon.py
@@ -0,0 +1,577 @@
+"""The director on its sockets: carries out what the core says, and tells it what came of it."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import time
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from pathlib import Path
+from urllib.parse import parse_qs, quote, urlsplit
+
+import msgspec
+import structlog
+
+from foxlift import interface as fl
+from foxlift.boxes import BadNotice, NoticeReader, SetUpOrder, box_outcome, read_load, read_set_up
+from foxlift.boxes.orca import HEADER as LOAD_HEADER
+from foxlift.boxes.resource import RungOrder
+from foxlift.catalogue import Catalogue, Title, load_catalogue
+from foxlift.config import DirectorConfig
+from foxlift.decide import attempts as at
+from foxlift.decide.claims import Why
+from foxlift.director import events as ev
+from foxlift.director.core import Core
+from foxlift.director.timeline import Timeline
+from foxlift.http import (
+    Answer,
+    Call,
+    Exchange,
+    Failure,
+    FailureKind,
+    Headers,
+    Limits,
+    Pool,
+    PoolLimits,
+    Server,
+)
+from foxlift.logic import Director
+from foxlift.manifest import SessionView
+from foxlift.membership import BoxList, ListAnswer, ListError, ListFailed, Poll, PollDue, read_response
+from foxlift.membership.boxlist import encode_full
+from foxlift.store import DiskFiles, FilePort, Intent, IntentBook
+from foxlift.telemetry import Counters
+from foxlift.tokens import SessionToken, TokenError, Trouble, Verifier, load_keys
+
+LIST_CACHE = "boxes.json"
+KNOWN_TARGETS = 100_000  # verified targets kept, so that a reload costs no second look at its signature
+
+_LOSSES = {
+    FailureKind.CONNECT: at.Loss.CONNECT,
+    FailureKind.RESET: at.Loss.RESET,
+    FailureKind.TIMEOUT: at.Loss.TIMEOUT,
+    FailureKind.GARBAGE: at.Loss.GARBAGE,
+    FailureKind.TOO_LARGE: at.Loss.GARBAGE,
+    FailureKind.CANCELLED: at.Loss.CANCELLED,
+}
+# status, title, seconds to come back after
+_DOWN: dict[Why, tuple[int, str, int | None]] = {
+    Why.EXPIRED: (403, "the token has expired", None),
+    Why.FAILED: (502, "the session may have been set up already; this token starts no other", None),
+    Why.PLAYED: (410, "the session of this token is over", None),
+    Why.BUSY: (503, "the session of this token is being called off", 1),
+    Why.FLOOD: (429, "too many requests wait on this token", 1),
+}
+_MPD: Headers = (("content-type", "application/dash+xml"), ("cache-control", "no-store"))
+
+
+@dataclass(slots=True)
+class _Held:
+    """A request that is not answered yet."""
+
+    exchange: Exchange
+    token_in_query: bool
+    query_token: str
+
+
+class Daemon:
+    """One director in one process."""
+
+    def __init__(
+        self,
+        config: DirectorConfig,
+        loop: asyncio.AbstractEventLoop,
+        *,
+        files: FilePort | None = None,
+        unix_s: float | None = None,
+        secret: Callable[[], str] = lambda: secrets.token_urlsafe(12),
+        trace: Callable[[float, fl.Event, list[fl.Action]], None] | None = None,
+        make: Callable[[fl.Settings, int], Director] = Director,
+    ) -> None:
+        """Reads keys, catalogue, cached list and the record of paid set-ups.
+
+        Raises ConfigError, ValueError, LogError and OSError, each of which names the file.
+        """
+        self.config, self.loop = config, loop
+        self.log = structlog.get_logger().bind(director=config.name)
+        start = time.time() if unix_s is None else unix_s
+        self.timeline = Timeline(loop, start, config.stall_ms, self._stalled)
+        self._disk = DiskFiles(Path(config.state), loop) if files is None else None
+        port = files or self._disk
+        assert port is not None
+        self.files: FilePort = port
+        self.catalogue: Catalogue = load_catalogue(Path(config.catalogue.folder), config.fleet.cells)
+        self.verifier = Verifier(
+            load_keys(Path(config.tokens.keys)), config.tokens.issuer, config.tokens.audience
+        )
+        self.book = IntentBook(self.files, start)
+        self.counters = Counters()
+        run = format(int(start * 1000) & 0xFFFFFFFFFF, "x")
+        self.core = Core(config, self._cached_list(), run, secret, trace, make)
+        front = config.front
+        self.server = Server(
+            loop,
+            self._asked,
+            Limits(
+                max_connections=front.max_connections,
+                max_header_bytes=front.max_header_bytes,
+                max_body_bytes=front.max_body_bytes,
+                max_pipelined=front.max_pipelined,
+                header_time_ms=front.header_time_ms,
+                idle_time_ms=front.idle_time_ms,
+            ),
+        )
+        self.url = ""
+        self.stopping = False
+        self._last_request = 0
+        self._held: dict[int, _Held] = {}
+        self._verified: OrderedDict[str, tuple[SessionToken, Title]] = OrderedDict()
+        self._queue: deque[ev.Event] = deque()
+        self._feeding = False
+        self._puts: dict[tuple[int, int], Call] = {}
+        self._streams: dict[int, Call] = {}
+        self._pools: dict[tuple[str, int], Pool] = {}
+        self._stream_pools: dict[tuple[str, int], Pool] = {}
+        self._addresses: dict[int, tuple[str, int]] = {}
+        address = urlsplit(config.box_list.url)
+        self._list_path = address.path or "/"
+        self._list_pool = Pool(
+            loop,
+            address.hostname or "127.0.0.1",
+            address.port or 80,
+            PoolLimits(connect_ms=1000.0, max_connections=2, max_answer_bytes=16 << 20),
+        )
+
+    def _cached_list(self) -> BoxList | None:
+        data = self.files.read(LIST_CACHE)
+        if data is None:
+            return None
+        try:
+            held = read_response(data)
+        except ListError as error:
+            # a list that cannot be read is worth nothing, and the service has a better one
+            self.log.warning("cached box list not usable", detail=str(error))
+            return None
+        return held if isinstance(held, BoxList) else None
+
+    # ---- Life ---------------------------------------------------------------------------------------------
+    async def start(self) -> int:
+        """Listen, recall paid set-ups, ask for the box list; gives back the port."""
+        for known in self.book.known.values():
+            self.feed(ev.Remembered(known))
+        self.feed(PollDue())
+        port = await self.server.listen(self.config.front.host, self.config.front.port)
+        self.url = f"http://{self.config.front.host}:{port}"
+        self.log.info("listening", url=self.url, recalled=len(self.book.known))
+        return port
+
+    async def stop(self, grace_ms: float | None = None) -> None:
+        """Take no new session; what is asked for gets its answer; playing ones may run for the grace."""
+        grace_ms = self.config.front.stop_time_ms if grace_ms is None else grace_ms
+        self.stopping = self.core.stopping = True
+        self.log.info("stopping", playing=self.core.attempts.live, waiting=self.core.waiting)
+        until = self.loop.time() + grace_ms / 1000
+        while self.core.sessions and self.loop.time() < until:
+            await asyncio.sleep(min(0.05, grace_ms / 1000))
+        await self.server.stop(1000.0)
+        self.close()
+
+    def close(self) -> None:
+        """Let go of everything at once."""
+        self.timeline.close()
+        for pool in (*self._pools.values(), *self._stream_pools.values(), self._list_pool):
+            pool.close()
+        self.book.close()
+        if self._disk is not None:
+            self._disk.close()
+
+    def _stalled(self, late_ms: float) -> None:
+        self.counters.add("stalls")
+        self.log.warning("the loop stood still", late_ms=round(late_ms))
+
+    # ---- Requests -----------------------------------------------------------------------------------------
+    def _asked(self, exchange: Exchange) -> None:
+        request = exchange.request
+        parts = request.path.split("/")
+        if len(parts) != 4 or parts[1] != "dash" or parts[3] != "manifest.mpd":
+            exchange.reply_problem(404, "no such resource")
+            return
+        if request.method != "GET":
+            exchange.reply_problem(405, "only GET is offered here", extra=(("allow", "GET"),))
+            return
+        try:
+            token, title, in_query, text = self._verify(exchange, parts[2])
+        except _Problem as problem:
+            self.counters.add("turned down", problem.title)
+            exchange.reply_problem(problem.status, problem.title, problem.detail, problem.extra)
+            return
+        expired = False
+        try:
+            token.check_time(self.timeline.unix_s(), self.config.tokens.leeway_s)
+        except TokenError:
+            expired = True
+        if self.stopping and self.core.claims.is_new(token.id):
+            exchange.reply_problem(503, "stopping", extra=(("retry-after", "1"),))
+            return
+        self._last_request += 1
+        number = self._last_request
+        self._held[number] = _Held(exchange, in_query, text)
+        exchange.on_gone = lambda: self._client_gone(number)
+        waited_ms = max((self.loop.time() - request.arrived) * 1000, 0.0)
+        self.feed(ev.ManifestAsked(number, token, title, expired, waited_ms))
+
+    def _verify(self, exchange: Exchange, name: str) -> tuple[SessionToken, Title, bool, str]:
+        request = exchange.request
+        bearer = request.headers.get("authorization", "")
+        key = f"{name}\n{bearer}\n{request.query}"
+        in_query = not bearer
+        text = self._token_text(bearer, request.query)
+        known = self._verified.get(key)
+        if known is not None:
+            self._verified.move_to_end(key)
+            return known[0], known[1], in_query, text
+        try:
+            token = self.verifier.verify(text)
+        except TokenError as error:
+            challenge: Headers = ()
+            if error.trouble is not Trouble.BAD_CLAIMS:
+                challenge = (("www-authenticate", 'Bearer error="invalid_token"'),)
+            raise _Problem(401, str(error), extra=challenge) from None
+        title = self.catalogue.titles.get(name)
+        if title is None:
+            raise _Problem(404, "unknown title")
+        if token.title != name:
+            raise _Problem(403, "the token is for another title")
+        if not self.core.knows_class(token.klass):
+            raise _Problem(403, "the token's class is not known here")
+        if not self.core.knows_tenant(token.tenant):
+            raise _Problem(403, "the token's tenant is not known here")
+        self._verified[key] = (token, title)
+        if len(self._verified) > KNOWN_TARGETS:
+            self._verified.popitem(last=False)
+        return token, title, in_query, text
+
+    @staticmethod
+    def _token_text(bearer: str, query: str) -> str:
+        if bearer:
+            scheme, _, text = bearer.partition(" ")
+            if scheme.lower() != "bearer":
+                raise _Problem(401, "only Bearer is understood", extra=(("www-authenticate", "Bearer"),))
+            return text.strip()
+        if query.startswith("token=") and "&" not in query and "%" not in query and "+" not in query:
+            return query[6:]
+        try:
+            found = parse_qs(query, max_num_fields=50).get("token", [])
+        except ValueError:
+            raise _Problem(400, "the query cannot be read") from None
+        if len(found) > 1:
+            raise _Problem(400, "more than one token")
+        if not found:
+            raise _Problem(401, "no token", extra=(("www-authenticate", "Bearer"),))
+        return found[0]
+
+    def _client_gone(self, number: int) -> None:
+        if self._held.pop(number, None) is not None:
+            self.counters.add("clients gone")
+            self.feed(ev.ClientGone(number))
+
+    # ---- The core -----------------------------------------------------------------------------------------
+    def feed(self, event: ev.Event) -> None:
+        """Tell the core; what happens meanwhile waits its turn."""
+        self._queue.append(event)
+        if self._feeding:
+            return
+        self._feeding = True
+        try:
+            while self._queue:
+                for action in self.core.handle(self.timeline.now(), self._queue.popleft()):
+                    self._carry_out(action)
+        finally:
+            self._feeding = False
+
+    def _carry_out(self, action: ev.Action) -> None:
+        match action:
+            case ev.ShowManifest():
+                self._show(action)
+            case ev.AnswerRefused(request, session, come_back_ms):
+                self.counters.add("refused")
+                self._answer_refused(request, session, come_back_ms)
+            case ev.AnswerFailed(request, session):
+                self.counters.add("failed")
+                self._answer(request, 504, "the session could not be set up in time", session=session)
+            case ev.AnswerDown(request, why):
+                self.counters.add("turned down", why.value)
+                status, title, seconds = _DOWN[why]
+                self._answer(request, status, title, seconds)
+            case ev.KeepIntent():
+                self._keep_intent(action)
+            case ev.SettleIntent(token, verdict):
+                self.book.settle(token, verdict)
+            case ev.PutSetUp():
+                self._put(action)
+            case ev.ChangeRung():
+                self._change_rung(action)
+            case at.AbortPut(session, attempt, if_unsent):
+                call = self._puts.get((session, attempt))
+                if call is not None and not (if_unsent and call.left):
+                    call.cancel()
+            case at.Release():
+                self._release(action)
+            case ev.OpenNotices(node):
+                self._open_notices(node)
+            case ev.CloseNotices(node):
+                self._close_notices(node)
+            case ev.StartTimer(delay_ms, event):
+                self.timeline.later(delay_ms, lambda: self.feed(event))
+            case Poll(version):
+                self._poll(version)
+            case ev.SaveList(boxes):
+                self._save_list(boxes)
+            case ev.Say(text, session, node, detail):
+                self.log.info(text, session=session, box=node, detail=detail)
+
+    # ---- Answers ------------------------------------------------------------------------------------------
+    def _take_held(self, request: int) -> _Held | None:
+        held = self._held.pop(request, None)
+        if held is not None:
+            held.exchange.on_gone = None
+        return held
+
+    def _show(self, show: ev.ShowManifest) -> None:
+        held = self._take_held(show.request)
+        if held is None:
+            return
+        session = show.session
+        self.counters.add("manifests")
+        body = self._manifest(session, held)
+        held.exchange.reply(200, _MPD, body)
+
+    def _manifest(self, session: ev.Session, held: _Held) -> bytes:
+        """The manifest as last shown, unless its rung has changed since."""
+        key = (session.rung, held.token_in_query)
+        if session.manifest is not None and session.manifest[0] == key:
+            return session.manifest[1]
+        host, port = self._address(session.node)
+        path = f"/s/{self.core.attempts.set_up_id(session.number, session.attempt)}/{session.path_token}"
+        location = f"{self.url}/dash/{quote(session.title.name)}/manifest.mpd"
+        if held.token_in_query:
+            location += f"?token={quote(held.query_token)}"  # a token from a header never enters a URL
+        started = datetime.fromtimestamp(session.started / 1000, UTC)
+        view = SessionView(
+            base_url=f"http://{host}:{port}{path}/{quote(session.title.name)}/",
+            location=location,
+            start=started.strftime("%Y-%m-%dT%H:%M:%SZ"),
+            update_period_s=self.config.front.update_period_s,
+            rung=session.rung,
+            floor=self.core.settings.classes[session.klass].floor,
+        )
+        body = session.title.source.write(view)
+        session.manifest = (key, body)
+        return body
+
+    def _answer_refused(self, request: int, session: int, come_back_ms: float) -> None:
+        held = self._take_held(request)
+        if held is None:
+            return
+        extra: Headers = ()
+        if come_back_ms > 0:
+            # whole seconds for any client (RFC 9110 section 10.2.3); the exact time for those that read it
+            seconds = max(round(come_back_ms / 1000 + 0.499), 1)
+            extra = (("retry-after", str(seconds)), ("foxlift-come-back-ms", f"{come_back_ms:g}"))
+        held.exchange.reply_problem(503, "refused: no room for this session now", extra=extra)
+        self.log.info("refused", session=session)
+
+    def _answer(
+        self, request: int, status: int, title: str, seconds: int | None = None, session: int | None = None
+    ) -> None:
+        held = self._take_held(request)
+        if held is None:
+            return
+        extra: Headers = () if seconds is None else (("retry-after", str(seconds)),)
+        held.exchange.reply_problem(status, title, extra=extra)
+        self.log.info("answered", status=status, reason=title, session=session)
+
+    # ---- Boxes --------------------------------------------------------------------------------------------
+    def _address(self, node: int) -> tuple[str, int]:
+        box = self.core.boxes.get(node)
+        if box is not None:
+            self._addresses[node] = (box.host, box.port)
+        return self._addresses[node]
+
+    def _pool(self, node: int, streams: bool = False) -> Pool:
+        address = self._address(node)
+        pools = self._stream_pools if streams else self._pools
+        pool = pools.get(address)
+        if pool is None:
+            config = self.config.boxes
+            limits = PoolLimits(
+                connect_ms=config.connect_ms,
+                max_connections=config.max_connections,
+                idle_ms=config.idle_ms,
+                max_answer_bytes=config.max_answer_bytes,
+            )
+            pool = pools[address] = Pool(self.loop, address[0], address[1], limits)
+        return pool
+
+    def _keep_intent(self, keep: ev.KeepIntent) -> None:
+        def done(error: OSError | None) -> None:
+            if error is None:
+                self.feed(at.IntentDurable(keep.session, keep.attempt))
+                return
+            self.counters.add("intents not kept")
+            self.log.error("the record of paid set-ups cannot be written", detail=str(error))
+            self.feed(at.IntentFailed(keep.session, keep.attempt))
+
+        intent = Intent(
+            keep.token.id, keep.token.expires + self.config.tokens.leeway_s, keep.box, keep.set_up
+        )
+        self.book.intend(intent, done)
+
+    def _put(self, put: ev.PutSetUp) -> None:
+        session, key = put.session, (put.session.number, put.attempt)
+        order = SetUpOrder(
+            director=self.config.name,
+            title=session.title.name,
+            klass=session.token.klass,
+            tenant=session.token.tenant,
+            claim=session.token.id,
+            paid=session.paid,
+            rung=put.rung,
+            rate_kb=put.rate_kb,
+            path_token=session.path_token,
+            within_ms=put.timeout_ms,
+        )
+
+        def result(found: Answer | Failure) -> None:
+            self._puts.pop(key, None)
+            self.feed(_put_event(key, found))
+
+        self.counters.add("set-ups sent")
+        self._puts[key] = self._pool(put.node).call(
+            "PUT",
+            f"/sessions/{put.set_up}",
+            result,
+            headers=(("content-type", "application/json"),),
+            body=msgspec.json.encode(order),
+            timeout_ms=put.timeout_ms,
+        )
+
+    def _change_rung(self, change: ev.ChangeRung) -> None:
+        body = msgspec.json.encode(RungOrder(change.rung, change.rate_kb))
+        self._pool(change.node).call(
+            "PUT",
+            f"/sessions/{change.set_up}/rung",
+            lambda found: None,  # the box's next rung notice tells what is in force
+            headers=(("content-type", "application/json"),),
+            body=body,
+            timeout_ms=2000.0,
+        )
+
+    def _release(self, release: at.Release) -> None:
+        def result(found: Answer | Failure) -> None:
+            if isinstance(found, Answer) and found.status in (200, 204, 404):
+                self.feed(at.Released(release.set_up))
+            else:
+                self.feed(at.ReleaseFailed(release.set_up))
+
+        def go() -> None:
+            self._pool(release.node).call("DELETE", f"/sessions/{release.set_up}", result, timeout_ms=2000.0)
+
+        if release.again:
+            self.timeline.later(self.config.boxes.release_retry_ms, go)
+        else:
+            go()
+
+    def _open_notices(self, node: int) -> None:
+        reader = NoticeReader()
+
+        def data(piece: bytes) -> None:
+            try:
+                notices = reader.feed(piece)
+            except BadNotice as error:
+                self.log.warning("notices not readable", box=node, detail=str(error))
+                call.cancel()
+                return
+            for notice in notices:
+                self.feed(ev.Notice(node, notice))
+
+        def result(_: Answer | Failure) -> None:
+            if self._streams.get(node) is call:
+                del self._streams[node]
+                self.feed(ev.StreamBroken(node))
+
+        call = self._pool(node, streams=True).call(
+            "GET",
+            f"/notices?director={self.config.name}&run={self.core.run}",
+            result,
+            headers=(("accept", "text/event-stream"),),
+            on_data=data,
+        )
+        self._streams[node] = call
+
+    def _close_notices(self, node: int) -> None:
+        call = self._streams.pop(node, None)
+        if call is not None:
+            call.cancel()
+
+    # ---- Box list -----------------------------------------------------------------------------------------
+    def _poll(self, version: int | None) -> None:
+        wait_ms = self.config.box_list.poll_ms
+        body = {
+            "version_info": "" if version is None else str(version),
+            "node": {"id": self.config.name},
+            "type_url": "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment",
+        }
+
+        def result(found: Answer | Failure) -> None:
+            if isinstance(found, Failure) or found.status not in (200, 304):
+                self.feed(ListFailed())
+                return
+            if found.status == 304:
+                self.feed(ListAnswer(None))
+                return
+            try:
+                news = read_response(found.body)
+            except ListError as error:
+                self.log.warning("box list not readable", detail=str(error))
+                self.feed(ListFailed(unreadable=True))
+                return
+            self.feed(ListAnswer(news))
+
+        self._list_pool.call(
+            "POST",
+            self._list_path,
+            result,
+            headers=(("content-type", "application/json"), ("prefer", f"wait={wait_ms / 1000:g}")),
+            body=msgspec.json.encode(body),
+            timeout_ms=wait_ms + 2000.0,
+        )
+
+    def _save_list(self, boxes: BoxList) -> None:
+        try:
+            self.files.replace(LIST_CACHE, encode_full(boxes))
+        except OSError as error:
+            self.log.error("the box list cannot be kept", detail=str(error))
+
+
+class _Problem(Exception):
+    def __init__(self, status: int, title: str, detail: str = "", extra: Headers = ()) -> None:
+        super().__init__(title)
+        self.status, self.title, self.detail, self.extra = status, title, detail, extra
+
+
+def _put_event(key: tuple[int, int], found: Answer | Failure) -> at.Answered | at.Lost:
+    """What the end of a set-up's call says of the attempt."""
+    if isinstance(found, Failure):
+        return at.Lost(*key, _LOSSES[found.kind], found.left)
+    load = read_load(found.header(LOAD_HEADER))
+    done = read_set_up(found.body) if found.status in (200, 201) else None
+    if done is not None:
+        return at.Answered(*key, True, fl.Outcome.OK, done.counter, done.boot, load)
+    if found.status in (200, 201):
+        # it says done, but not how it may be known: not to be trusted with a viewer
+        return at.Lost(*key, at.Loss.GARBAGE, True)
+    return at.Answered(*key, False, box_outcome(found.status, found.header("foxlift-refusal")), load=load)
--- /dev/null
+++ b/foxlift/director/events.py
@@ -0,0 +1,242 @@
+"""What the director's core takes in and gives out, beside the events and actions of `foxlift.decide`."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from foxlift.boxes import BoxNotice
+from foxlift.catalogue import Title
+from foxlift.decide import attempts, claims, links
+from foxlift.membership import BoxList, ListAnswer, ListFailed, Poll, PollDue
+from foxlift.store import Known, Verdict
+from foxlift.tokens import SessionToken
+
+
+# ---- In ---------------------------------------------------------------------------------------------------
+@dataclass(frozen=True, slots=True)
+class ManifestAsked:
+    """A request for a title's manifest, with a token that verified. `waited_ms`: since its first byte."""
+
+    request: int
+    token: SessionToken
+    title: Title
+    expired: bool
+    waited_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class ClientGone:
+    """The request's client left before its answer."""
+
+    request: int
+
+
+@dataclass(frozen=True, slots=True)
+class Notice:
+    """A box told something of its own accord."""
+
+    node: int
+    notice: BoxNotice
+
+
+@dataclass(frozen=True, slots=True)
+class StreamBroken:
+    """The notice stream of a box ended or could not be opened."""
+
+    node: int
+
+
+@dataclass(frozen=True, slots=True)
+class LinkTimer:
+    """A wait that a link asked for is over."""
+
+    node: int
+    event: links.RetryDue | links.LossDue
+
+
+@dataclass(frozen=True, slots=True)
+class TimerDue:
+    """A timer of the module is due."""
+
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class Remembered:
+    """A paid set-up from the record, at the start."""
+
+    known: Known
+
+
+Event = (
+    ManifestAsked
+    | ClientGone
+    | Notice
+    | StreamBroken
+    | LinkTimer
+    | TimerDue
+    | Remembered
+    | PollDue
+    | ListAnswer
+    | ListFailed
+    | attempts.IntentDurable
+    | attempts.IntentFailed
+    | attempts.Answered
+    | attempts.Lost
+    | attempts.Released
+    | attempts.ReleaseFailed
+)
+
+
+# ---- Out --------------------------------------------------------------------------------------------------
+@dataclass(slots=True)
+class Session:
+    """What the director keeps of a session while it is asked for or plays."""
+
+    number: int
+    token: SessionToken
+    title: Title
+    klass: int
+    paid: bool
+    path_token: str
+    rung: int = 0
+    node: int = 0
+    attempt: int = 0
+    attempts: int = 0
+    withdrawn: bool = False
+    started: float = 0.0  # ms on the module's clock
+    manifest: tuple[tuple[int, bool], bytes] | None = None  # as last shown: rung, token in its URLs
+
+
+@dataclass(frozen=True, slots=True)
+class ShowManifest:
+    """Answer 200 with the session's manifest."""
+
+    request: int
+    session: Session
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerRefused:
+    """Answer 503; come back after so many milliseconds, where that is allowed."""
+
+    request: int
+    session: int
+    come_back_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerFailed:
+    """Answer 504 or 502: the session may have been set up."""
+
+    request: int
+    session: int
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerDown:
+    """Answer at once, without a session."""
+
+    request: int
+    why: claims.Why
+
+
+@dataclass(frozen=True, slots=True)
+class KeepIntent:
+    """Make the intent of a paid set-up durable, then report IntentDurable or IntentFailed."""
+
+    session: int
+    attempt: int
+    token: SessionToken
+    box: str
+    set_up: str
+
+
+@dataclass(frozen=True, slots=True)
+class SettleIntent:
+    """Record what became of it."""
+
+    token: str
+    verdict: Verdict
+
+
+@dataclass(frozen=True, slots=True)
+class PutSetUp:
+    """Send a set-up to a box; report Answered or Lost."""
+
+    session: Session
+    attempt: int
+    set_up: str
+    node: int
+    rung: int
+    rate_kb: float
+    timeout_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeRung:
+    """Tell a box the rung of a playing session."""
+
+    set_up: str
+    node: int
+    rung: int
+    rate_kb: float
+
+
+@dataclass(frozen=True, slots=True)
+class OpenNotices:
+    """Open the notice stream of a box."""
+
+    node: int
+
+
+@dataclass(frozen=True, slots=True)
+class CloseNotices:
+    """Close it."""
+
+    node: int
+
+
+@dataclass(frozen=True, slots=True)
+class StartTimer:
+    """Hand the event back after so many milliseconds."""
+
+    delay_ms: float
+    event: Event
+
+
+@dataclass(frozen=True, slots=True)
+class SaveList:
+    """Keep the box list for a restart."""
+
+    boxes: BoxList
+
+
+@dataclass(frozen=True, slots=True)
+class Say:
+    """A line for the operators' log."""
+
+    event: str
+    session: int | None = None
+    node: str | None = None
+    detail: str = ""
+
+
+Action = (
+    ShowManifest
+    | AnswerRefused
+    | AnswerFailed
+    | AnswerDown
+    | KeepIntent
+    | SettleIntent
+    | PutSetUp
+    | ChangeRung
+    | attempts.AbortPut
+    | attempts.Release
+    | OpenNotices
+    | CloseNotices
+    | StartTimer
+    | Poll
+    | SaveList
+    | Say
+)
--- /dev/null
+++ b/foxlift/standins/box.py
@@ -0,0 +1,334 @@
+"""A media box on sockets: the protocol of docs/box-protocol.md, segments, notices, and its troubles."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from foxlift.boxes.notices import BoxNotice, Delivered, EndedThere, Hello, LinkUse, RungThere, encode_notice
+from foxlift.boxes.resource import RungOrder, SetUpOrder
+from foxlift.http import Exchange, Headers, Limits, Server, StreamOut
+from foxlift.standins.model import BURST, BoxModel, BoxSession
+
+TICK_S = 0.1
+PIECES = 4  # in which a segment is sent
+
+
+class BoxServer:
+    """One box. `scale`: bytes really sent for each byte of the stated rates."""
+
+    def __init__(
+        self,
+        model: BoxModel,
+        loop: asyncio.AbstractEventLoop,
+        *,
+        scale: float,
+        segment_s: float,
+        report_s: float,
+        told_late_s: float,
+        tell_every_s: float,
+        idle_s: float = 3.0,
+        orphan_s: float = 3.0,
+        on_fallen: Callable[[BoxServer], None] | None = None,
+    ) -> None:
+        self.model, self.loop = model, loop
+        self.scale, self.segment_s = scale, segment_s
+        self.report_s, self.told_late_s, self.tell_every_s = report_s, told_late_s, tell_every_s
+        self.idle_s, self.orphan_s = idle_s, orphan_s
+        self.on_fallen = on_fallen
+        self.port = 0
+        self.up = False
+        self.hanging = False
+        self.lose_answers = 0.0  # the share of set-ups that are done and not answered
+        self.answer_slowly = False
+        self.report_delay_s = 0.0
+        self.set_ups = 0
+        self.set_ups_by_claim: dict[str, int] = {}
+        self._server: Server | None = None
+        self._streams: dict[str, tuple[str, StreamOut]] = {}  # by director: its run and stream
+        self._stream_lost: dict[str, float] = {}
+        self._report: tuple[float, float] = (-1e9, 0.0)
+        self._told_at = 0.0
+        self._short: set[str] = set()
+        self._delivered_at = 0.0
+        self._timers: set[asyncio.TimerHandle] = set()
+        self._tick: asyncio.TimerHandle | None = None
+
+    # ---- Life ---------------------------------------------------------------------------------------------
+    async def start(self, port: int = 0, cold: bool = False) -> None:
+        """Begin to serve as a new process of the same name."""
+        self.model.start(self.loop.time(), cold)
+        self.hanging, self.lose_answers, self.answer_slowly = False, 0.0, False
+        self._server = Server(self.loop, self._asked, Limits(idle_time_ms=30_000.0))
+        self.port = await self._server.listen("127.0.0.1", port or self.port)
+        self.up = True
+        self._tick = self.loop.call_later(TICK_S, self._on_tick)
+
+    def die(self) -> None:
+        """End as a killed process does: every connection is reset, nothing is told."""
+        if not self.up or self._server is None:
+            return
+        self.up = False
+        server, self._server = self._server, None
+        if server._server is not None:
+            server._server.close()
+        for connection in list(server.connections):
+            connection.abort()
+        for timer in self._timers:
+            timer.cancel()
+        self._timers.clear()
+        if self._tick is not None:
+            self._tick.cancel()
+        self._streams.clear()
+        self._stream_lost.clear()
+        self.model.stop()
+
+    def _later(self, delay: float, callback: Callable[[], None]) -> None:
+        def due() -> None:
+            self._timers.discard(handle)
+            callback()
+
+        handle = self.loop.call_later(delay, due)
+        self._timers.add(handle)
+
+    # ---- Requests -----------------------------------------------------------------------------------------
+    def _asked(self, exchange: Exchange) -> None:
+        if self.hanging:
+            return
+        parts = exchange.request.path.strip("/").split("/")
+        method = exchange.request.method
+        if parts[0] == "sessions" and len(parts) == 2 and method == "PUT":
+            self._put(exchange, parts[1])
+        elif parts[0] == "sessions" and len(parts) == 3 and parts[2] == "rung" and method == "PUT":
+            self._rung(exchange, parts[1])
+        elif parts[0] == "sessions" and len(parts) == 2 and method == "DELETE":
+            self._delete(exchange, parts[1])
+        elif parts == ["notices"] and method == "GET":
+            self._notices(exchange)
+        elif parts[0] == "s" and len(parts) >= 5 and method == "GET":
+            self._segment(exchange, parts)
+        else:
+            exchange.reply_problem(404, "no such resource")
+
+    def _load_header(self) -> Headers:
+        """The report is refreshed now and then, and a little late."""
+        now = self.loop.time()
+        if now - self._report[0] >= self.report_s + self.report_delay_s:
+            self._report = (now, self.model.use)
+        metrics = {"named_metrics": {"link": round(self._report[1], 4)}}
+        return (("endpoint-load-metrics", "JSON " + json.dumps(metrics)),)
+
+    def _put(self, exchange: Exchange, set_up: str) -> None:
+        model, now = self.model, self.loop.time()
+        try:
+            order = msgspec.json.decode(exchange.request.body, type=SetUpOrder)
+        except msgspec.MsgspecError as error:
+            exchange.reply_problem(400, "malformed set-up", str(error))
+            return
+        if set_up in model.sessions:
+            self._done(exchange, 200)  # idempotent: it runs already
+            return
+        if model.gone.get(set_up, 0.0) > now:
+            exchange.reply_problem(410, "released before it came")
+            return
+        why = model.takes(now)
+        if model.fallen:
+            self.die()
+            if self.on_fallen is not None:
+                self.on_fallen(self)
+            return
+        if why is not None:
+            exchange.reply_problem(503, why, extra=(("foxlift-refusal", why), *self._load_header()))
+            return
+        model.setting_up += 1
+        self.set_ups += 1
+        self.set_ups_by_claim[order.claim] = self.set_ups_by_claim.get(order.claim, 0) + 1
+        lost = model.random.random() < self.lose_answers
+        self._later(model.set_up_time(now), lambda: self._set_up_done(exchange, set_up, order, lost))
+
+    def _set_up_done(self, exchange: Exchange, set_up: str, order: SetUpOrder, lost: bool) -> None:
+        model, now = self.model, self.loop.time()
+        model.setting_up -= 1
+        if set_up in model.gone:
+            if not exchange.gone:
+                exchange.reply_problem(410, "released meanwhile")
+            return
+        director, _, _ = set_up.rpartition("-")[0].rpartition("-")
+        model.sessions[set_up] = BoxSession(
+            set_up, order.director, director, order.title, order.path_token, order.rate_kb, order.rung, now
+        )
+        model.counter += 1
+        self._stream_lost.setdefault(order.director, now)
+        if order.director in self._streams:
+            self._stream_lost.pop(order.director, None)
+        if lost or exchange.gone:
+            return  # the work is done, the answer is lost
+        if self.answer_slowly:
+            self._drip(exchange)
+        else:
+            self._done(exchange, 201)
+
+    def _done(self, exchange: Exchange, status: int) -> None:
+        body = json.dumps({"boot": self.model.boot, "counter": self.model.counter}).encode()
+        exchange.reply(status, (("content-type", "application/json"), *self._load_header()), body)
+
+    def _drip(self, exchange: Exchange) -> None:
+        """A byte a second: the answer comes, but never in time."""
+        stream = exchange.start_stream(201, (("content-type", "application/json"),))
+
+        def drop() -> None:
+            if not exchange.gone and self.up:
+                stream.write(b" ")
+                self._later(1.0, drop)
+
+        drop()
+
+    def _rung(self, exchange: Exchange, set_up: str) -> None:
+        session = self.model.sessions.get(set_up)
+        if session is None:
+            exchange.reply_problem(404, "no such session")
+            return
+        try:
+            order = msgspec.json.decode(exchange.request.body, type=RungOrder)
+        except msgspec.MsgspecError as error:
+            exchange.reply_problem(400, "malformed rung", str(error))
+            return
+        session.rung, session.rate_kb = order.rung, order.rate_kb
+        exchange.reply(204, self._load_header())
+        self._tell(session.director, RungThere(set_up, order.rung))
+
+    def _delete(self, exchange: Exchange, set_up: str) -> None:
+        # kept for a while: a set-up that was sent before may come after
+        self.model.gone[set_up] = self.loop.time() + 30.0
+        known = self.model.sessions.pop(set_up, None)
+        if known is None:
+            exchange.reply_problem(404, "no such session")
+        else:
+            exchange.reply(204)
+
+    # ---- Segments -----------------------------------------------------------------------------------------
+    def _segment(self, exchange: Exchange, parts: list[str]) -> None:
+        session = self.model.sessions.get(parts[1])
+        if session is None or session.path_token != parts[2]:
+            exchange.reply_problem(403 if session is not None else 404, "no such session here")
+            return
+        session.last_seen = self.loop.time()
+        if parts[-1].startswith("last-"):
+            session.finished = True
+        if parts[-1].startswith("init"):
+            exchange.reply(200, (("content-type", "video/mp4"),), b"init")
+            return
+        size = max(int(session.rate_kb * 1000 * self.segment_s * self.scale), PIECES)
+        stream = exchange.start_stream(200, (("content-type", "video/mp4"),))
+        session.streams += 1
+        self._piece(exchange, stream, session, size, 0)
+
+    def _piece(
+        self, exchange: Exchange, stream: StreamOut, session: BoxSession, size: int, done: int
+    ) -> None:
+        """Send the next part when the link would have carried it."""
+        if exchange.gone or self.model.sessions.get(session.set_up) is not session:
+            session.streams -= 1
+            exchange.abort()
+            return
+        session.last_seen = self.loop.time()
+        if done == PIECES:
+            session.streams -= 1
+            stream.finish()
+            return
+        stream.write(b"\0" * (size // PIECES))
+        share = self.model.share
+        speed = BURST if share >= 0.98 else share
+        wait = self.segment_s / PIECES / max(speed, 0.05)
+        self._later(wait, lambda: self._piece(exchange, stream, session, size, done + 1))
+
+    # ---- Notices ------------------------------------------------------------------------------------------
+    def _notices(self, exchange: Exchange) -> None:
+        query = dict(pair.partition("=")[::2] for pair in exchange.request.query.split("&"))
+        director, run = query.get("director", ""), query.get("run", "")
+        old = self._streams.pop(director, None)
+        if old is not None:
+            old[1].finish()
+        for set_up, session in list(self.model.sessions.items()):
+            if session.director == director and session.run != f"{director}.{run}":
+                del self.model.sessions[set_up]  # of a process of that director that is no more
+        stream = exchange.start_stream(200, (("content-type", "text/event-stream"),))
+        self._streams[director] = (run, stream)
+        self._stream_lost.pop(director, None)
+        exchange.on_gone = lambda: self._notices_gone(director, stream)
+        held = tuple(s.set_up for s in self.model.sessions.values() if s.director == director)
+        stream.write(encode_notice(Hello(self.model.boot, self.model.counter, held)))
+
+    def _notices_gone(self, director: str, stream: StreamOut) -> None:
+        if director in self._streams and self._streams[director][1] is stream:
+            del self._streams[director]
+            self._stream_lost[director] = self.loop.time()
+
+    def _tell(self, director: str, notice: BoxNotice) -> None:
+        found = self._streams.get(director)
+        if found is not None and not self.hanging:
+            found[1].write(encode_notice(notice))
+
+    def _on_tick(self) -> None:
+        now, model = self.loop.time(), self.model
+        for set_up, session in list(model.sessions.items()):
+            orphan = now - self._stream_lost.get(session.director, now) > self.orphan_s
+            if session.streams == 0 and now - session.last_seen > self.idle_s:
+                self._end(session, "done" if session.finished else "left")
+            elif orphan:
+                del model.sessions[set_up]  # a session ends with its director
+        if now - self._delivered_at >= 1.0:
+            self._delivered_at = now
+            self._tell_delivered()
+        if now - self._told_at >= self.tell_every_s:
+            self._told_at = now
+            use = model.use
+            for director, set_up in self._one_each().items():
+                self._say_late(director, LinkUse(set_up, round(use, 4)))
+        for set_up in [s for s, until in model.gone.items() if until < now]:
+            del model.gone[set_up]
+        self._tick = self.loop.call_later(TICK_S, self._on_tick)
+
+    def _end(self, session: BoxSession, how: str) -> None:
+        del self.model.sessions[session.set_up]
+        self._tell(session.director, EndedThere(session.set_up, how))
+
+    def _one_each(self) -> dict[str, str]:
+        return {session.director: session.set_up for session in self.model.sessions.values()}
+
+    def _tell_delivered(self) -> None:
+        share = round(self.model.share, 4)
+        for director, set_up in self._one_each().items():
+            if share < 0.98:
+                self._short.add(director)
+            elif director in self._short:
+                self._short.discard(director)
+            else:
+                continue
+            self._say_late(director, Delivered(set_up, share))
+
+    def _say_late(self, director: str, notice: BoxNotice) -> None:
+        self._later(self.told_late_s + self.report_delay_s, lambda: self._tell(director, notice))
+
+    # ---- Control ------------------------------------------------------------------------------------------
+    def command(self, do: str, value: Any) -> None:
+        """Carry out one trouble on command; starting and listing are the fleet's."""
+        match do:
+            case "hang":
+                self.hanging = bool(value)
+            case "lose-answers":
+                self.lose_answers = float(value)
+            case "answer-slowly":
+                self.answer_slowly = bool(value)
+            case "weaken":
+                self.model.factor = float(value)
+            case "delay-reports":
+                self.report_delay_s = float(value)
+            case "drain":
+                self.model.draining = bool(value)
+            case _:
+                raise ValueError(f"unknown command {do!r}")
--- /dev/null
+++ b/foxlift/store/intents.py
@@ -0,0 +1,141 @@
+"""The record of paid set-ups: an intent is durable before its set-up leaves the director.
+
+After a kill, an intent without outcome means that the set-up may have run: that token is never set up again.
+Outcomes are written with the next group and need not last: losing one only makes a token more careful.
+Records are JSON, one an entry: `{"k": "i", "t": token id, "x": expiry (Unix s), "b": box, "s": set-up id}`
+and `{"k": "o", "t": token id, "v": verdict}`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from enum import Enum
+
+import msgspec
+
+from foxlift.store.files import FilePort, SyncFile
+from foxlift.store.log import LogError, LogReader, encode_frame, encode_header
+
+NAME = "intents.log"
+
+
+class Verdict(Enum):
+    """What became of an intent."""
+
+    NEVER_RAN = "never"
+    MAY_HAVE_RUN = "may"
+    STARTED = "started"
+    ENDED = "ended"
+
+
+@dataclass(frozen=True, slots=True)
+class Intent:
+    """A paid set-up about to be sent. `expires`: when its token can start nothing any more, Unix seconds."""
+
+    token: str
+    expires: int
+    box: str
+    set_up: str
+
+
+@dataclass(frozen=True, slots=True)
+class Known:
+    """A token as the record shows it after a restart."""
+
+    token: str
+    expires: int
+    box: str
+    set_up: str
+    verdict: Verdict
+
+
+class _Record(msgspec.Struct, omit_defaults=True):
+    k: str
+    t: str
+    x: int = 0
+    b: str = ""
+    s: str = ""
+    v: str = ""
+
+
+class IntentBook:
+    """Writes intents in groups: while one sync runs, what comes gathers for the next.
+
+    Once the disk has failed, every later intent fails at once: no paid set-up leaves without its record.
+    """
+
+    def __init__(self, files: FilePort, now_unix: float) -> None:
+        """Reads the record and writes it anew without what has expired. Raises OSError and LogError."""
+        self._files = files
+        self.known = self._load(now_unix)
+        self.failed: OSError | None = None
+        self._sequence = 0
+        self._gathering: list[_Record] = []
+        self._waiting: list[Callable[[OSError | None], None]] = []
+        self._writing = False
+        self._rewrite()
+        self._file: SyncFile = files.open_append(NAME)
+
+    def _load(self, now_unix: float) -> dict[str, Known]:
+        data = self._files.read(NAME)
+        known: dict[str, Known] = {}
+        if data is None:
+            return known
+        reader = LogReader(NAME, data)
+        for number, payload in enumerate(reader.payloads, 1):
+            try:
+                record = msgspec.json.decode(payload, type=_Record)
+                if record.k == "i":
+                    known[record.t] = Known(record.t, record.x, record.b, record.s, Verdict.MAY_HAVE_RUN)
+                elif record.t in known:
+                    known[record.t] = replace(known[record.t], verdict=Verdict(record.v))
+            except (msgspec.MsgspecError, ValueError) as error:
+                raise LogError(f"{NAME}: record {number}: {error}") from error
+        spent = {t: k for t, k in known.items() if k.verdict is not Verdict.NEVER_RAN}
+        return {t: k for t, k in spent.items() if k.expires > now_unix}
+
+    def _rewrite(self) -> None:
+        """Start a log that holds only what still matters: it is bounded by tokens that have not expired."""
+        data = encode_header()
+        for known in self.known.values():
+            data += self._frame(_Record("i", known.token, known.expires, known.box, known.set_up))
+            if known.verdict is not Verdict.MAY_HAVE_RUN:
+                data += self._frame(_Record("o", known.token, v=known.verdict.value))
+        self._files.replace(NAME, data)
+
+    def _frame(self, record: _Record) -> bytes:
+        self._sequence += 1
+        return encode_frame(self._sequence, msgspec.json.encode(record))
+
+    def intend(self, intent: Intent, done: Callable[[OSError | None], None]) -> None:
+        """Record an intent; `done(None)` once it is durable. Never called from inside `intend`."""
+        self._gathering.append(_Record("i", intent.token, intent.expires, intent.box, intent.set_up))
+        self._waiting.append(done)
+        self._write()
+
+    def settle(self, token: str, verdict: Verdict) -> None:
+        """Record what became of it, with the next group."""
+        self._gathering.append(_Record("o", token, v=verdict.value))
+        self._write()
+
+    def _write(self) -> None:
+        if self._writing or not self._gathering:
+            return
+        records, self._gathering = self._gathering, []
+        waiting, self._waiting = self._waiting, []
+        self._writing = True
+        self._file.write_sync(
+            b"".join(map(self._frame, records)), lambda error: self._written(error, waiting)
+        )
+
+    def _written(self, error: OSError | None, waiting: list[Callable[[OSError | None], None]]) -> None:
+        self._writing = False
+        self.failed = self.failed or error
+        for done in waiting:
+            done(error)
+        self._write()
+
+    def close(self) -> None:
+        """Let go of the file."""
+        self._file.close()
--- /dev/null
+++ b/foxlift/store/log.py
@@ -0,0 +1,100 @@
+"""The log's format: a header, then frames; each with a checksum.
+
+    header   8 bytes "FOXLLOG1" | u32 version | u32 crc32c of the twelve bytes before
+    frame    u32 length of payload | u64 sequence number | u32 crc32c of these twelve and payload | payload
+
+Numbers are little-endian; sequence numbers rise by one from 1. A frame that is cut short or fails its
+checksum at the very end is a torn tail: it was never acknowledged, and what is before it stands. Damage with
+whole frames behind it is no torn tail and is reported by its offset.
+"""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass, field
+
+import google_crc32c
+
+MAGIC = b"FOXLLOG1"
+VERSION = 1
+MAX_PAYLOAD = 1 << 20
+_HEADER = struct.Struct("<8sII")
+_FRAME = struct.Struct("<IQI")
+
+
+class LogError(ValueError):
+    """A log that cannot be trusted: what is wrong, and at which offset."""
+
+
+def _crc(data: bytes) -> int:
+    return int(google_crc32c.value(data))
+
+
+def encode_header() -> bytes:
+    """The first bytes of a log."""
+    start = MAGIC + struct.pack("<I", VERSION)
+    return start + struct.pack("<I", _crc(start))
+
+
+def encode_frame(sequence: int, payload: bytes) -> bytes:
+    """One record. Raises LogError for a payload over MAX_PAYLOAD."""
+    if len(payload) > MAX_PAYLOAD:
+        raise LogError(f"a record of {len(payload)} bytes; {MAX_PAYLOAD} are allowed")
+    start = struct.pack("<IQ", len(payload), sequence)
+    return start + struct.pack("<I", _crc(start + payload)) + payload
+
+
+@dataclass
+class LogReader:
+    """Reads a log from its bytes. `good` is the offset up to which it is whole, `torn` what follows."""
+
+    name: str
+    data: bytes
+    payloads: list[bytes] = field(default_factory=list)
+    good: int = 0
+    last: int = 0
+
+    def __post_init__(self) -> None:
+        data = self.data
+        if len(data) < _HEADER.size:
+            # the header is written and synced before the first record: a shorter file holds none
+            if not encode_header().startswith(data):
+                raise LogError(f"{self.name}: offset 0: not a log of this program")
+            return
+        magic, version, crc = _HEADER.unpack_from(data)
+        if magic != MAGIC or crc != _crc(data[:12]):
+            raise LogError(f"{self.name}: offset 0: not a log of this program, or its header is damaged")
+        if version > VERSION:
+            raise LogError(f"{self.name}: written by a newer program (format {version}, known {VERSION})")
+        self.good = _HEADER.size
+        while (end := self._frame_end(self.good, self.last + 1)) is not None:
+            self.payloads.append(data[self.good + _FRAME.size : end])
+            self.good, self.last = end, self.last + 1
+        self._check_tail()
+
+    @property
+    def torn(self) -> int:
+        return len(self.data) - self.good
+
+    def _frame_end(self, at: int, sequence: int) -> int | None:
+        if at + _FRAME.size > len(self.data):
+            return None
+        length, found, crc = _FRAME.unpack_from(self.data, at)
+        end = at + _FRAME.size + length
+        if length > MAX_PAYLOAD or end > len(self.data) or found != sequence:
+            return None
+        body = self.data[at : at + 12] + self.data[at + _FRAME.size : end]
+        return end if _crc(body) == crc else None
+
+    def _check_tail(self) -> None:
+        """A whole later frame behind the damage: acknowledged records are lost, and that is said."""
+        tail = self.data[self.good :]
+        for ahead in range(1, 65):
+            needle = struct.pack("<Q", self.last + 1 + ahead)
+            at = tail.find(needle)
+            while at >= 0:
+                if at >= 4 and self._frame_end(self.good + at - 4, self.last + 1 + ahead) is not None:
+                    raise LogError(
+                        f"{self.name}: offset {self.good}: a damaged record with whole ones behind it"
+                    )
+                at = tail.find(needle, at + 1)
