--- a/foxlift/director/core.py
+++ b/foxlift/director/core.py
@@ -344,7 +344,8 @@
                 case ln.Await(delay_ms, turn):
                     self._out.append(ev.StartTimer(delay_ms, ev.LinkTimer(node, ln.LossDue(turn))))
                 case ln.AllLost():
-                    self._out.append(ev.Say("box silent", node=self._box_name(node)))
+                    if self.attempts.at(node):
+                        self._out.append(ev.Say("box silent", node=self._box_name(node)))
                     self._attempt(at.BoxLost(node))
                 case ln.Compare():
                     pass  # hello itself carries what is compared: see _notice
--- a/foxlift/director/daemon.py
+++ b/foxlift/director/daemon.py
@@ -180,7 +180,9 @@
         self.close()
 
     def close(self) -> None:
-        """Let go of everything at once."""
+        """Let go of everything at once; a second call does nothing."""
+        if self.timeline.closed:
+            return
         self.timeline.close()
         for pool in (*self._pools.values(), *self._stream_pools.values(), self._list_pool):
             pool.close()
--- /dev/null
+++ b/tests/memory.py
@@ -0,0 +1,51 @@
+"""A disk in memory whose syncs end when the test says so."""
+
+from __future__ import annotations
+
+import errno
+
+from foxlift.store.files import Done, SyncFile
+
+
+class MemoryFiles:
+    """A file port. `hold`: syncs wait for `release`; `broken`: they fail."""
+
+    def __init__(self, data: dict[str, bytes] | None = None) -> None:
+        self.data = dict(data or {})
+        self.hold = self.broken = False
+        self.held: list[tuple[str, bytes, Done]] = []
+
+    def read(self, name: str) -> bytes | None:
+        return self.data.get(name)
+
+    def replace(self, name: str, data: bytes) -> None:
+        self.data[name] = data
+
+    def open_append(self, name: str) -> SyncFile:
+        return _MemoryFile(self, name)
+
+    def release(self) -> None:
+        held, self.held = self.held, []
+        for name, data, done in held:
+            self._end(name, data, done)
+
+    def _end(self, name: str, data: bytes, done: Done) -> None:
+        if self.broken:
+            done(OSError(errno.EIO, "input/output error"))
+            return
+        self.data[name] = self.data.get(name, b"") + data
+        done(None)
+
+
+class _MemoryFile:
+    def __init__(self, files: MemoryFiles, name: str) -> None:
+        self.files, self.name = files, name
+
+    def write_sync(self, data: bytes, done: Done) -> None:
+        if self.files.hold:
+            self.files.held.append((self.name, data, done))
+        else:
+            self.files._end(self.name, data, done)
+
+    def close(self) -> None:
+        pass
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -13,6 +13,7 @@
 import msgspec
 import uvloop
 from joserfc.jwk import KeySet, OctKey
+from samples import SOURCE
 
 from foxlift import interface as fl
 from foxlift.config import DirectorConfig, bind, read_forms
@@ -21,7 +22,6 @@
 from foxlift.standins.fleet import BoxPlan, Fleet, FleetPlan
 from foxlift.store import FilePort
 from foxlift.tokens import Issuer, SessionToken
-from tests.test_manifest import SOURCE
 
 KEY = {"kty": "oct", "kid": "one", "k": "YS1rZXktZm9yLXRlc3RzLXRoYXQtaXMtMzItYnl0ZXM"}
 CONFIG = """
@@ -31,7 +31,8 @@
       (class (name "graded") (repeat once) (wanted-ms 1500) (deadline-ms 3000) (worth 3) (top 2))
       (class (name "briefing") (repeat free) (wanted-ms 1000) (deadline-ms 5000) (worth 1) (top 2)))
     (cells 4) (racks 2) (zones east west) (kinds std) (kind-slots 30) (link-kb-per-weight 7000)
-    (uplink-kb 12000) (warm-up-ms 2000) (come-back-max-ms 500) (note-late-ms 100) (tenants (tenant (name "t"))))
+    (uplink-kb 12000) (warm-up-ms 2000) (come-back-max-ms 500) (note-late-ms 100)
+    (tenants (tenant (name "t"))))
   (front (port 0) (update-period-s 1)) (tokens (keys "{keys}") (issuer "i") (audience "foxlift"))
   (catalogue (folder "{folder}"))
   (box-list (url "http://127.0.0.1:{list_port}/v3/discovery:endpoints") (poll-ms 5000) (retry-ms 50))
@@ -86,6 +87,16 @@
     def sessions(self) -> list[str]:
         return [set_up for box in self.fleet.boxes.values() for set_up in box.model.sessions]
 
+    def kill(self) -> None:
+        """End the director as kill -9 does: nothing more is written, sent or answered."""
+        self.director.feed = lambda event: None  # type: ignore[method-assign]
+        server = self.director.server
+        if server._server is not None:
+            server._server.close()
+        for connection in list(server.connections):
+            connection.abort()
+        self.director.close()
+
     def new_director(self, name: str = "d0", files: FilePort | None = None) -> Daemon:
         """Another process of a director, as after a kill: it has the state folder and nothing else."""
         config = settings(self.folder, self.fleet.list_port, name)
--- a/tests/test_manifest.py
+++ b/tests/test_manifest.py
@@ -9,40 +9,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from lxml import etree
+from samples import HEAD, SOURCE
 
 from foxlift.catalogue import load_catalogue
 from foxlift.config import ConfigError
 from foxlift.manifest import DashSource, ManifestError, SessionView
 
-HEAD = '<MPD xmlns="urn:mpeg:dash:schema:mpd:2011" profiles="urn:mpeg:dash:profile:isoff-live:2011" '
-SOURCE = (
-    HEAD
-    + """type="static" mediaPresentationDuration="PT40S" minBufferTime="PT4S">
- <ProgramInformation><Title>A &amp; B</Title></ProgramInformation>
- <BaseURL>vod/</BaseURL>
- <Location>http://elsewhere/</Location>
- <Period id="1">
-  <AdaptationSet contentType="video" segmentAlignment="true">
-   <SegmentTemplate media="$RepresentationID$/$Number$.m4s" initialization="$RepresentationID$/i.mp4"
-     duration="4" startNumber="1"/>
-   <Representation id="hi" bandwidth="8000000" codecs="avc1.4d401f"/>
-   <Representation id="lo" bandwidth="1000000" codecs="avc1.4d401f"/>
-   <Representation id="mid" bandwidth="3000000" codecs="avc1.4d401f"/>
-  </AdaptationSet>
-  <AdaptationSet contentType="audio"><SegmentTemplate media="a/$Number$" duration="4"/>
-   <Representation id="a1" bandwidth="128000"/><Representation id="a2" bandwidth="64000"/></AdaptationSet>
-  <AdaptationSet mimeType="text/vtt"><Representation id="s" bandwidth="256"><BaseURL>s.vtt</BaseURL>
-   </Representation></AdaptationSet>
- </Period>
- <Period id="2">
-  <AdaptationSet mimeType="video/mp4">
-   <SegmentTemplate media="$RepresentationID$/$Time$" timescale="1000">
-    <SegmentTimeline><S t="0" d="4000" r="4"/></SegmentTimeline></SegmentTemplate>
-   <Representation id="lo" bandwidth="1000000"/><Representation id="hi" bandwidth="8000000"/>
-  </AdaptationSet>
- </Period>
-</MPD>"""
-)
 VIEW = SessionView(
     "http://127.0.0.1:9/s/1.x/t/", "http://f/dash/t/manifest.mpd?token=a&b", "2026-01-01T00:00:00Z", 4.0, 1
 )
@@ -140,9 +112,7 @@
 @given(st.text(max_size=40), st.text(max_size=40), st.integers(0, 4), st.integers(0, 4))
 def test_whatever_is_put_in_comes_out_as_text(base: str, location: str, floor: int, rung: int) -> None:
     """No character of a URL can change the document: what XML cannot hold never reaches here."""
-    clean = [
-        "".join(c for c in text if c.isprintable()) for text in (base, location)
-    ]
+    clean = ["".join(c for c in text if c.isprintable()) for text in (base, location)]
     view = SessionView(clean[0], clean[1], "2026-01-01T00:00:00Z", 4, rung, floor)
     root = shown(DashSource(SOURCE.encode(), "t"), view)
     assert root.findtext("d:BaseURL", namespaces=NS) == clean[0] + "vod/"
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -94,8 +94,11 @@
         (HEAD + "01000000 6300 00000000", "unknown record code 99"),
         (HEAD + "01000000 0700 0a000000 0300", "runs past the end"),
         (HEAD + "01000000 0700 02000000 0300", "bytes of fields"),
-        (HEAD + "01000000 0500 22000000 0300 c4913a5d6dc90400 0000 0000000000803240 0a124a07 8b13 01 0000"
-         "02 cdcccc3e", "in its last field"),
+        (
+            HEAD + "01000000 0500 22000000 0300 c4913a5d6dc90400 0000 0000000000803240 0a124a07 8b13 01 0000"
+            "02 cdcccc3e",
+            "in its last field",
+        ),
         (HEAD + "00000000 00", "left over"),
         (HEAD + "01000000 0700 0a000000 0300 4d00000000000000", "WAKE for unknown director 3"),
         (HEAD + "01000000 0100 0e000000 0300 0000000000000000 00000000", "ordinal|categories|ladder_kb"),
