--- /dev/null
+++ b/foxlift/cli/main.py
@@ -0,0 +1,274 @@
+"""`foxlift`: serve, rehearse, token, check-config, standin.
+
+Exit codes: 0 done (for `rehearse`: and every rule kept), 1 a rule was broken, 2 wrong usage, 3 settings or
+files cannot be used, 4 the system does not let it run (ports, disk), 5 a process of a rehearsal failed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import secrets
+import signal
+import sys
+import tempfile
+import time
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any, TypeVar
+
+import click
+import msgspec
+import uvloop
+from rich.console import Console
+
+from foxlift.catalogue import load_catalogue
+from foxlift.config import ConfigError, load_director, module_settings
+from foxlift.director import Daemon
+from foxlift.rehearsal import built_in, load_scenario, print_report, run_day
+from foxlift.rehearsal.processes import ChildError
+from foxlift.rehearsal.report import write_json
+from foxlift.standins.fleet import Fleet, FleetPlan
+from foxlift.store import LogError
+from foxlift.telemetry import configure_logs
+from foxlift.tokens import Issuer, SessionToken, load_keys
+
+T = TypeVar("T")
+
+BROKEN_RULE, BAD_FILES, NO_SYSTEM, CHILD_FAILED = 1, 3, 4, 5
+
+
+def _run(work: Coroutine[Any, Any, T]) -> T:
+    return uvloop.run(work)
+
+
+def _end(code: int, message: str) -> None:
+    click.echo(f"foxlift: {message}", err=True)
+    sys.exit(code)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+def main() -> None:
+    """Places and shapes video sessions on streaming servers.
+
+    \b
+    Examples:
+      foxlift rehearse                     a bad day on stand-ins, judged by the six rules
+      foxlift check-config director.sexp   settings, keys, catalogue: is all in order?
+      foxlift serve director.sexp          run a director
+    """
+
+
+_log_format = click.option(
+    "--log-format", type=click.Choice(["console", "json"]), default="console", help="Form of the log lines."
+)
+_log_level = click.option(
+    "--log-level",
+    type=click.Choice(["debug", "info", "warning", "error"]),
+    default="info",
+    help="Least level.",
+)
+
+
+@main.command()
+@click.argument("settings", type=click.Path(path_type=Path))
+@_log_format
+@_log_level
+def serve(settings: Path, log_format: str, log_level: str) -> None:
+    """Run a director until SIGTERM or SIGINT.
+
+    Says one line of JSON with its port on standard output when it listens; logs go to standard error. On
+    SIGTERM it takes no new session, answers what it holds and lets sessions play for stop-time-ms.
+
+    \b
+    Example:
+      foxlift serve --log-format json /etc/foxlift/director.sexp
+    """
+    configure_logs(log_format, log_level)  # type: ignore[arg-type]
+    try:
+        config = load_director(settings)
+    except ConfigError as error:
+        _end(BAD_FILES, str(error))
+        return
+
+    async def work() -> None:
+        loop = asyncio.get_running_loop()
+        daemon = Daemon(config, loop)
+        port = await daemon.start()
+        click.echo(json.dumps({"port": port, "url": daemon.url}))
+        sys.stdout.flush()
+        stop = asyncio.Event()
+        for name in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(name, stop.set)
+        await stop.wait()
+        await daemon.stop()
+
+    try:
+        _run(work())
+    except OSError as error:
+        _end(NO_SYSTEM, f"cannot run: {error}")
+    except (ConfigError, LogError, ValueError) as error:
+        _end(BAD_FILES, str(error))
+
+
+@main.command("check-config")
+@click.argument("settings", type=click.Path(path_type=Path))
+def check_config(settings: Path) -> None:
+    """Check a director's settings, its keys and its catalogue; starts nothing.
+
+    \b
+    Example:
+      foxlift check-config director.sexp
+    """
+    try:
+        config = load_director(settings)
+        module_settings(config)
+        load_keys(Path(config.tokens.keys))
+        catalogue = load_catalogue(Path(config.catalogue.folder), config.fleet.cells)
+    except (ConfigError, ValueError) as error:
+        _end(BAD_FILES, str(error))
+        return
+    click.echo(
+        f"{settings}: in order: director {config.name}, {len(config.fleet.classes)} classes,"
+        f" {len(catalogue.titles)} titles (catalogue version {catalogue.version})"
+    )
+
+
+@main.command()
+@click.argument("settings", type=click.Path(path_type=Path))
+@click.option("--title", required=True, help="The title that may be played.")
+@click.option("--class", "klass", required=True, help="The session's class.")
+@click.option("--tenant", required=True, help="Whose viewer it is.")
+@click.option("--viewer", default="someone", show_default=True, help="Who watches.")
+@click.option("--id", "token_id", help="The token's id; drawn where it is not given.")
+@click.option("--for", "seconds", type=int, default=3600, show_default=True, help="Seconds until it expires.")
+@click.option("--best", type=int, help="Highest rung that the viewer can use.")
+def token(
+    settings: Path,
+    title: str,
+    klass: str,
+    tenant: str,
+    viewer: str,
+    token_id: str | None,
+    seconds: int,
+    best: int | None,
+) -> None:
+    """Issue a session token with the key of a director's settings.
+
+    \b
+    Example:
+      foxlift token director.sexp --title t1 --class briefing-replay --tenant north
+    """
+    try:
+        config = load_director(settings)
+        keys = load_keys(Path(config.tokens.keys))
+    except (ConfigError, ValueError) as error:
+        _end(BAD_FILES, str(error))
+        return
+    made = SessionToken(
+        id=token_id or secrets.token_urlsafe(12),
+        viewer=viewer,
+        title=title,
+        klass=klass,
+        tenant=tenant,
+        expires=int(time.time()) + seconds,
+        best_rung=best,
+    )
+    click.echo(Issuer(keys, config.tokens.issuer, config.tokens.audience).issue(made))
+
+
+@main.command()
+@click.argument("scenario", default="bad-day")
+@click.option("--seed", type=int, default=1, show_default=True, help="Seed of viewers, boxes and players.")
+@click.option("--folder", type=click.Path(path_type=Path), help="Keep settings, logs and taps here.")
+@click.option("--json", "as_json", is_flag=True, help="Print the report as one line of JSON.")
+@click.option("--quiet", is_flag=True, help="No progress lines.")
+def rehearse(scenario: str, seed: int, folder: Path | None, as_json: bool, quiet: bool) -> None:
+    """Run a scripted day on stand-ins and judge the six rules from the sockets' traffic.
+
+    SCENARIO is the name of a built-in day (bad-day, short-day) or a scenario file.
+
+    \b
+    Examples:
+      foxlift rehearse
+      foxlift rehearse --seed 7 --folder /tmp/day7
+      foxlift rehearse my-day.sexp --json
+    """
+    try:
+        day = load_scenario(Path(scenario)) if scenario.endswith(".sexp") else built_in(scenario)
+    except KeyError:
+        raise click.BadParameter(f"no built-in day is called {scenario}") from None
+    except ConfigError as error:
+        _end(BAD_FILES, str(error))
+        return
+
+    def progress(at_s: float, text: str) -> None:
+        if not quiet:
+            click.echo(f"{at_s:6.1f} s  {text}", err=True)
+
+    try:
+        if folder is not None:
+            result = _run(run_day(day, seed, folder, progress))
+        else:
+            with tempfile.TemporaryDirectory(prefix="foxlift-day-") as made:
+                result = _run(run_day(day, seed, Path(made), progress))
+    except ChildError as error:
+        _end(CHILD_FAILED, str(error))
+        return
+    except OSError as error:
+        _end(NO_SYSTEM, f"cannot run: {error}")
+        return
+    if as_json:
+        click.echo(write_json(result))
+    else:
+        print_report(result, Console())
+    if result.verdict.broken:
+        sys.exit(BROKEN_RULE)
+    if any(result.exits.values()):
+        sys.exit(CHILD_FAILED)
+
+
+@main.group()
+def standin() -> None:
+    """Stand-ins for the outside, for rehearsals and by hand."""
+
+
+@standin.command("fleet")
+@click.argument("plan", type=click.Path(path_type=Path))
+def standin_fleet(plan: Path) -> None:
+    """Run the media boxes, the box list and the control socket of a fleet plan (JSON).
+
+    Says one line of JSON with all ports on standard output. Commands go to the control port, for example
+    {"do": "die", "box": "b3"}.
+
+    \b
+    Example:
+      foxlift standin fleet fleet.json
+    """
+    try:
+        made = msgspec.json.decode(plan.read_bytes(), type=FleetPlan)
+    except (OSError, msgspec.MsgspecError) as error:
+        _end(BAD_FILES, f"{plan}: {error}")
+        return
+
+    async def work() -> None:
+        loop = asyncio.get_running_loop()
+        fleet = Fleet(made, loop)
+        await fleet.start()
+        ports = {name: box.port for name, box in fleet.boxes.items()}
+        click.echo(json.dumps({"boxes": ports, "list": fleet.list_port, "control": fleet.control_port}))
+        sys.stdout.flush()
+        stop = asyncio.Event()
+        for name in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(name, stop.set)
+        await stop.wait()
+        await fleet.stop()
+
+    try:
+        _run(work())
+    except OSError as error:
+        _end(NO_SYSTEM, f"cannot run: {error}")
+
+
+if __name__ == "__main__":
+    main()
--- a/foxlift/config/settings.py
+++ b/foxlift/config/settings.py
@@ -104,6 +104,7 @@
 
     host: str = "127.0.0.1"
     port: Port = 0
+    url: Annotated[str, Meta(pattern=r"^(http://.*)?$")] = ""  # as players reach it, where that differs
     max_connections: Positive = 20_000
     max_header_bytes: Positive = 16_384
     max_body_bytes: Count = 65_536
--- a/foxlift/director/daemon.py
+++ b/foxlift/director/daemon.py
@@ -164,7 +164,7 @@
             self.feed(ev.Remembered(known))
         self.feed(PollDue())
         port = await self.server.listen(self.config.front.host, self.config.front.port)
-        self.url = f"http://{self.config.front.host}:{port}"
+        self.url = self.config.front.url or f"http://{self.config.front.host}:{port}"
         self.log.info("listening", url=self.url, recalled=len(self.book.known))
         return port
 
--- /dev/null
+++ b/foxlift/rehearsal/crowd.py
@@ -0,0 +1,49 @@
+"""Who comes when: viewers drawn from the seed before the day begins, so that no answer changes who asks."""
+
+from __future__ import annotations
+
+import random
+from bisect import bisect
+from itertools import accumulate
+
+from foxlift.rehearsal.scenario import Scenario
+from foxlift.standins.player import Viewer
+
+
+def draw_viewers(scenario: Scenario, seed: int) -> list[tuple[Viewer, int]]:
+    """Every viewer of the day with the director that it comes to first, in order of coming."""
+    chance = random.Random(f"viewers {seed}")
+    zipf = list(accumulate(1 / (k + 1) ** 0.8 for k in range(scenario.titles)))
+    wishes: list[tuple[float, int]] = []
+    for _ in range(scenario.viewers):
+        title = bisect(zipf, chance.random() * zipf[-1])
+        wishes.append((chance.random() * scenario.seconds * 0.9, title))
+    for step in scenario.steps:
+        if step.do == "crowd":
+            title = int(step.on[1:])
+            wishes += [
+                (step.at_s + chance.random() * max(step.for_s, 0.1), title) for _ in range(int(step.value))
+            ]
+    return [_viewer(scenario, chance, k, at, title) for k, (at, title) in enumerate(sorted(wishes))]
+
+
+def _viewer(
+    scenario: Scenario, chance: random.Random, number: int, at: float, title: int
+) -> tuple[Viewer, int]:
+    mix = chance.choices(scenario.classes, [c.part for c in scenario.classes])[0]
+    tenant = chance.choices(scenario.tenants, [t.part for t in scenario.tenants])[0]
+    small = chance.random() < 0.25
+    viewer = Viewer(
+        name=f"v{number}",
+        klass=mix.terms.name,
+        tenant=tenant.name,
+        title=f"t{title}",
+        paid=mix.terms.repeat != "free",
+        wanted_ms=mix.terms.wanted_ms,
+        deadline_ms=mix.terms.deadline_ms,
+        worth=mix.terms.worth,
+        best=max(mix.terms.top - 1 if small else mix.terms.top, mix.terms.floor),
+        length_s=chance.uniform(*mix.length_s),
+        at_s=at,
+    )
+    return viewer, chance.randrange(scenario.directors)
--- /dev/null
+++ b/foxlift/rehearsal/day.py
@@ -0,0 +1,236 @@
+"""Runs a day: directors in processes of their own, a fleet in another, taps and players here."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+
+from foxlift.rehearsal import files
+from foxlift.rehearsal.crowd import draw_viewers
+from foxlift.rehearsal.processes import Child
+from foxlift.rehearsal.scenario import Scenario, Step
+from foxlift.standins.checker import Checker, Verdict
+from foxlift.standins.player import Player, Viewer, Watching
+from foxlift.standins.tap import Recorder, Tap
+from foxlift.tokens import Issuer, SessionToken
+
+PATIENCE_S = 12.0  # after the day's end, for sessions that still play
+
+Progress = Callable[[float, str], None]
+
+
+@dataclass
+class DayResult:
+    """A day as it was."""
+
+    scenario: Scenario
+    seed: int
+    verdict: Verdict
+    watched: list[Watching] = field(default_factory=list)
+    fallen: list[str] = field(default_factory=list)
+    exits: dict[str, int] = field(default_factory=dict)
+    seconds: float = 0.0
+
+    @property
+    def kept(self) -> bool:
+        """Whether every rule was kept and every process ended as it should."""
+        return not self.verdict.broken and not any(self.exits.values())
+
+    @property
+    def stalled_s(self) -> float:
+        return sum(watching.stalled_s for watching in self.watched)
+
+
+class _Day:
+    def __init__(self, scenario: Scenario, seed: int, folder: Path, progress: Progress) -> None:
+        self.scenario, self.seed, self.folder, self.progress = scenario, seed, folder, progress
+        self.loop = asyncio.get_running_loop()
+        self.recorder = Recorder(folder / "taps.bin", self.loop)
+        self.chance = random.Random(f"players {seed}")
+        self.directors: list[Child] = []
+        self.taps: list[Tap] = []
+        self.front_taps: list[Tap] = []
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.watched: list[Watching] = []
+        self.control = 0
+        self.result = DayResult(scenario, seed, Verdict())
+
+    def _tap(self, name: str) -> Tap:
+        tap = Tap(name, self.recorder, self.loop)
+        self.taps.append(tap)
+        return tap
+
+    async def prepare(self) -> None:
+        scenario = self.scenario
+        keys = files.make_keys(self.folder)
+        self.issuer = Issuer(keys, files.ISSUER, files.AUDIENCE)
+        files.make_catalogue(self.folder / "catalogue", scenario)
+        box_taps = [self._tap(f"box:b{k}") for k in range(scenario.boxes)]
+        announce = [await tap.listen() for tap in box_taps]
+        plan = files.fleet_plan(scenario, announce, self.seed)
+        (self.folder / "fleet.json").write_bytes(msgspec.json.encode(plan))
+        self.fleet = Child("fleet", self.folder, "standin", "fleet", "fleet.json")
+        ready = await self.fleet.start()
+        self.control = int(ready["control"])
+        for tap in box_taps:
+            tap.target = int(ready["boxes"][tap.name.partition(":")[2]])
+        for k in range(scenario.directors):
+            list_tap, front_tap = self._tap(f"list:d{k}"), self._tap(f"director:d{k}")
+            list_tap.target = int(ready["list"])
+            list_port, front_port = await list_tap.listen(), await front_tap.listen()
+            url = f"http://127.0.0.1:{front_port}"
+            text = files.director_settings(scenario, k, list_port, url, self.seed)
+            (self.folder / f"d{k}.sexp").write_text(text)
+            self.front_taps.append(front_tap)
+            self.directors.append(Child(f"d{k}", self.folder, "serve", "--log-format", "json", f"d{k}.sexp"))
+        for k in range(scenario.directors):
+            await self._start_director(k)
+
+    async def _start_director(self, k: int) -> None:
+        ready = await self.directors[k].start()
+        self.front_taps[k].target = int(ready["port"])
+
+    # ---- The script ---------------------------------------------------------------------------------------
+    async def _step(self, step: Step) -> None:
+        self.progress(step.at_s, f"{step.do} {step.on}".strip())
+        await self._do(step, step.value)
+        if step.for_s and step.do != "crowd":
+            await asyncio.sleep(step.for_s)
+            self.progress(step.at_s + step.for_s, f"{step.do} {step.on} over")
+            await self._undo(step)
+
+    async def _do(self, step: Step, value: float) -> None:
+        number = int(step.on[1:]) if step.on[1:].isdigit() else 0
+        match step.do:
+            case "crowd":
+                return
+            case "kill":
+                self.recorder.mark("kill", director=step.on)
+                self.directors[number].kill()
+            case "restart":
+                self.recorder.mark("restart", director=step.on)
+                await self._start_director(number)
+            case "stall":
+                self.recorder.mark("stall", director=step.on, on=bool(value))
+                self.directors[number].stop_running(bool(value))
+            case "hang" | "answer-slowly" | "drain" | "list-down":
+                await self._command(step, bool(value))
+            case _:
+                await self._command(step, value)
+
+    async def _undo(self, step: Step) -> None:
+        rest = {"weaken": 1.0, "weaken-rack": 1.0}.get(step.do, 0.0)
+        await self._do(step, rest)
+
+    async def _command(self, step: Step, value: float | bool) -> None:
+        names = [f"b{k}" for k in range(self.scenario.boxes)] if step.on == "boxes" else [step.on]
+        for name in names:
+            self.recorder.mark(step.do, box=name, value=value)
+            body = json.dumps({"do": step.do, "box": name, "value": value}).encode()
+            await self._post(body)
+
+    async def _post(self, body: bytes) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.control)
+        writer.write(
+            b"POST / HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: %d\r\n\r\n" % len(body)
+            + body
+        )
+        answer = await reader.read()
+        writer.close()
+        if not answer.startswith(b"HTTP/1.1 204"):
+            raise RuntimeError(f"the fleet did not take {body!r}: {answer[:200]!r}")
+
+    async def _state(self) -> dict[str, object]:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.control)
+        writer.write(b"GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
+        answer = await reader.read()
+        writer.close()
+        return dict(json.loads(answer.partition(b"\r\n\r\n")[2]))
+
+    # ---- Players ------------------------------------------------------------------------------------------
+    def _new_token(self, viewer: Viewer, bought: int) -> tuple[str, str]:
+        claim = f"{viewer.name}.{bought}"
+        token = SessionToken(
+            id=claim,
+            viewer=viewer.name,
+            title=viewer.title,
+            klass=viewer.klass,
+            tenant=viewer.tenant,
+            expires=int(time.time()) + 3600,
+            best_rung=viewer.best,
+            length_s=viewer.length_s,
+        )
+        return claim, self.issuer.issue(token)
+
+    async def _watch(self, viewer: Viewer, first: int) -> None:
+        await asyncio.sleep(viewer.at_s)
+        ports = [tap.port for tap in self.front_taps]
+        player = Player(viewer, ports, first, self._new_token, self.chance.random)
+        self.watched.append(player.watching)
+        await player.run()
+
+    async def run(self) -> None:
+        viewers = draw_viewers(self.scenario, self.seed)
+        self.progress(0.0, f"{len(viewers)} viewers, {self.scenario.directors} directors")
+        players = [self.loop.create_task(self._watch(viewer, first)) for viewer, first in viewers]
+        steps = [self.loop.create_task(self._timed(step)) for step in self.scenario.steps]
+        await asyncio.sleep(self.scenario.seconds)
+        self.progress(self.scenario.seconds, "the last sessions play out")
+        await asyncio.wait(players, timeout=PATIENCE_S)
+        for task in (*players, *steps):
+            task.cancel()
+        for outcome in await asyncio.gather(*players, *steps, return_exceptions=True):
+            if isinstance(outcome, Exception):
+                raise outcome
+
+    async def _timed(self, step: Step) -> None:
+        await asyncio.sleep(step.at_s)
+        await self._step(step)
+
+    async def finish(self) -> None:
+        fallen = (await self._state())["fallen"]
+        assert isinstance(fallen, list)
+        for name in fallen:
+            self.recorder.mark("fallen", box=name)
+        self.result.fallen = fallen
+        for child in self.directors:
+            self.result.exits[child.name] = await child.end()
+        self.result.exits["fleet"] = await self.fleet.end()
+
+    def close(self) -> None:
+        for child in (*self.directors, *([self.fleet] if hasattr(self, "fleet") else [])):
+            child.stop_running(False)
+            child.kill()
+        for tap in self.taps:
+            tap.close()
+        self.recorder.close()
+
+
+async def run_day(scenario: Scenario, seed: int, folder: Path, progress: Progress) -> DayResult:
+    """Run a day in `folder`, which then holds settings, logs and `taps.bin`.
+
+    Raises ChildError where a process does not start, and RuntimeError where a stand-in does not obey.
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    start = time.monotonic()
+    day = _Day(scenario, seed, folder, progress)
+    try:
+        await day.prepare()
+        await day.run()
+        await day.finish()
+    finally:
+        day.close()
+    progress(scenario.seconds, "judging what the taps wrote down")
+    day.result.verdict = await asyncio.to_thread(
+        lambda: Checker(folder / "taps.bin", files.terms_of(scenario)).judge()
+    )
+    day.result.watched = day.watched
+    day.result.seconds = time.monotonic() - start
+    return day.result
--- /dev/null
+++ b/foxlift/rehearsal/files.py
@@ -0,0 +1,161 @@
+"""The files of a day: keys, catalogue, source manifests, directors' settings, the fleet's plan."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import msgspec
+from joserfc.jwk import KeySet, OctKey
+
+from foxlift.rehearsal.scenario import Scenario
+from foxlift.standins.checker import ClassTerms, Terms
+from foxlift.standins.fleet import BoxPlan, FleetPlan
+
+ISSUER, AUDIENCE = "rehearsal", "foxlift"
+
+
+def make_keys(folder: Path) -> KeySet:
+    """A fresh signing key, written for the directors."""
+    key = OctKey.generate_key(256, {"kid": "rehearsal"})
+    keys = KeySet([key])
+    path = folder / "keys.json"
+    path.write_text(json.dumps(keys.as_dict(private=True)))
+    path.chmod(0o600)
+    return keys
+
+
+def source_manifest(scenario: Scenario) -> str:
+    """A VOD source with one Representation a rung, named `v0`, `v1`, ..., and an audio set."""
+    rungs = "\n".join(
+        f'   <Representation id="v{k}" bandwidth="{int(kb * 8000)}" codecs="avc1.4d401f"/>'
+        for k, kb in enumerate(scenario.ladder_kb)
+    )
+    return f"""<?xml version="1.0" encoding="UTF-8"?>
+<MPD xmlns="urn:mpeg:dash:schema:mpd:2011" type="static" profiles="urn:mpeg:dash:profile:isoff-live:2011"
+  mediaPresentationDuration="PT600S" minBufferTime="PT{scenario.segment_s:g}S">
+ <Period id="p0">
+  <AdaptationSet contentType="video" mimeType="video/mp4" segmentAlignment="true">
+   <SegmentTemplate media="$RepresentationID$/$Number$.m4s" initialization="$RepresentationID$/init.mp4"
+     timescale="1000" duration="{int(scenario.segment_s * 1000)}" startNumber="1"/>
+{rungs}
+  </AdaptationSet>
+  <AdaptationSet contentType="audio" mimeType="audio/mp4">
+   <SegmentTemplate media="a/$Number$.m4s" timescale="1000" duration="{int(scenario.segment_s * 1000)}"/>
+   <Representation id="a" bandwidth="128000"/>
+  </AdaptationSet>
+ </Period>
+</MPD>
+"""
+
+
+def make_catalogue(folder: Path, scenario: Scenario) -> None:
+    """One source for all titles; title k lies on the cells from k on."""
+    folder.mkdir(exist_ok=True)
+    (folder / "source.mpd").write_text(source_manifest(scenario))
+    lines = [
+        f'  (title (name "t{k}") (first-cell {k % scenario.boxes}) (holders {scenario.holders})'
+        ' (manifest "source.mpd"))'
+        for k in range(scenario.titles)
+    ]
+    text = "(catalogue (version 1) (titles\n" + "\n".join(lines) + "))\n"
+    (folder / "catalogue.sexp").write_text(text)
+
+
+def zone_of(scenario: Scenario, number: int) -> str:
+    """Zones go round, over boxes by rack and over directors by number."""
+    return scenario.zones[number % len(scenario.zones)]
+
+
+def fleet_plan(scenario: Scenario, announce: list[int], seed: int) -> FleetPlan:
+    """Box k stands in cell k and in rack k modulo the racks, as the module counts them."""
+    boxes = tuple(
+        BoxPlan(
+            name=f"b{k}",
+            zone=zone_of(scenario, k % scenario.racks),
+            kind="std",
+            cell=k,
+            rack=f"r{k % scenario.racks}",
+            places=scenario.places,
+            link_kb=scenario.link_kb,
+            announce=announce[k],
+        )
+        for k in range(scenario.boxes)
+    )
+    return FleetPlan(
+        boxes=boxes,
+        uplink_kb=scenario.uplink_kb,
+        cold_from=scenario.cold_from,
+        warm_up_ms=scenario.warm_up_ms,
+        cold_multiple=scenario.cold_multiple,
+        cold_window_ms=scenario.cold_window_ms,
+        set_up_ms=scenario.set_up_ms,
+        scale=scenario.scale,
+        segment_s=scenario.segment_s,
+        seed=seed,
+    )
+
+
+def _form(key: str, value: object) -> str:
+    name = key.replace("_", "-")
+    if isinstance(value, bool):
+        return f"({name} {'true' if value else 'false'})"
+    if isinstance(value, str):
+        return f"({name} {json.dumps(value)})"
+    if isinstance(value, tuple):
+        return f"({name} {' '.join(json.dumps(v) for v in value)})"
+    return f"({name} {value})"
+
+
+def director_settings(scenario: Scenario, number: int, list_port: int, url: str, seed: int) -> str:
+    """The settings file of director `number`; its paths are relative to the file."""
+    classes = "\n".join(
+        "(class " + " ".join(_form(k, v) for k, v in msgspec.structs.asdict(mix.terms).items()) + ")"
+        for mix in scenario.classes
+    )
+    tenants = " ".join(f'(tenant (name "{t.name}") (share {t.part}))' for t in scenario.tenants)
+    same = ["ladder_kb", "ladder_worth", "warm_up_ms", "cold_from", "cold_multiple", "cold_window_ms", "drain_grace_ms", "uplink_kb", "come_back_max_ms", "max_attempts", "extra_free", "extra_ratio", "extra_span_ms"]
+    fleet = " ".join(_form(key, getattr(scenario, key)) for key in same)
+    zones = " ".join(scenario.zones)
+    return f"""; director {number} of the rehearsal {scenario.name}
+(director (name "d{number}") (number {number}) (directors {scenario.directors})
+  (zone {zone_of(scenario, number)}) (state "state-d{number}") (seed {seed * 100 + number})
+  (fleet {fleet}
+    (cells {scenario.boxes}) (racks {scenario.racks}) (zones {zones}) (kinds std) (kind-slots
+    {scenario.places}) (link-kb-per-weight {scenario.link_kb}) (note-late-ms 700) (report-every-ms 3000)
+    (stall-cost 6) (rung-change-s 0.5) (classes
+{classes})
+    (tenants {tenants}))
+  (front (port 0) (url "{url}") (update-period-s 4) (stop-time-ms 2000))
+  (tokens (keys "keys.json") (issuer "{ISSUER}") (audience "{AUDIENCE}"))
+  (catalogue (folder "catalogue"))
+  (box-list (url "http://127.0.0.1:{list_port}/v3/discovery:endpoints") (poll-ms 5000) (retry-ms 200)))
+"""
+
+
+def terms_of(scenario: Scenario) -> Terms:
+    """What the checker judges by: from the scenario, not from any director's settings."""
+    return Terms(
+        classes={
+            mix.terms.name: ClassTerms(
+                paid=mix.terms.repeat != "free",
+                wanted_s=mix.terms.wanted_ms / 1000,
+                deadline_s=mix.terms.deadline_ms / 1000,
+                worth=mix.terms.worth,
+                floor=mix.terms.floor,
+                top=mix.terms.top,
+                seats=mix.terms.seats,
+            )
+            for mix in scenario.classes
+        },
+        ladder_worth=scenario.ladder_worth,
+        places={f"b{k}": scenario.places for k in range(scenario.boxes)},
+        drain_grace_s=scenario.drain_grace_ms / 1000,
+        cold_multiple=scenario.cold_multiple,
+        cold_window_s=scenario.cold_window_ms / 1000,
+        warm_up_s=scenario.warm_up_ms / 1000,
+        cold_from=scenario.cold_from,
+        extra_free=scenario.extra_free,
+        extra_ratio=scenario.extra_ratio,
+        extra_span_s=scenario.extra_span_ms / 1000,
+    )
--- /dev/null
+++ b/foxlift/rehearsal/scenario.py
@@ -0,0 +1,120 @@
+"""What a rehearsed day is made of, as an S-expression file."""
+
+from __future__ import annotations
+
+from importlib import resources
+from pathlib import Path
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+
+from foxlift.config import ConfigError, Place, bind, read_forms
+from foxlift.config.settings import ClassConfig, Name
+
+Seconds = Annotated[float, Meta(ge=0, le=36_000)]
+
+
+class ClassMix(msgspec.Struct, frozen=True, tag="class"):
+    """A class, its part of the viewers, and how long they watch."""
+
+    terms: ClassConfig
+    part: Annotated[float, Meta(gt=0, le=1)]
+    length_s: Annotated[tuple[float, ...], Meta(min_length=2, max_length=2)]
+
+
+class TenantMix(msgspec.Struct, frozen=True, tag="tenant"):
+    """A tenant and its part of the viewers."""
+
+    name: Name
+    part: Annotated[float, Meta(gt=0, le=1)]
+
+
+class Step(msgspec.Struct, frozen=True, tag="step"):
+    """One thing that happens: a command of the stand-ins, a crowd, or a director's end."""
+
+    at_s: Seconds
+    do: Literal[
+        "crowd",
+        "kill",
+        "restart",
+        "stall",
+        "die",
+        "return",
+        "hang",
+        "drain",
+        "lose-answers",
+        "answer-slowly",
+        "weaken",
+        "weaken-rack",
+        "delay-reports",
+        "list-down",
+    ]
+    on: str = ""
+    value: float = 1.0
+    for_s: Seconds = 0.0
+
+
+class Scenario(msgspec.Struct, frozen=True):
+    """A day."""
+
+    name: Name
+    seconds: Seconds
+    viewers: Annotated[int, Meta(ge=1, le=100_000)]
+    directors: Annotated[int, Meta(ge=1, le=64)]
+    boxes: Annotated[int, Meta(ge=1, le=500)]
+    racks: Annotated[int, Meta(ge=1, le=100)]
+    zones: tuple[Name, ...]
+    titles: Annotated[int, Meta(ge=1, le=10_000)]
+    holders: Annotated[int, Meta(ge=1)]
+    classes: tuple[ClassMix, ...]
+    tenants: tuple[TenantMix, ...]
+    ladder_kb: tuple[float, ...]
+    ladder_worth: tuple[float, ...]
+    link_kb: float
+    uplink_kb: float
+    places: int
+    steps: tuple[Step, ...] = ()
+    set_up_ms: float = 60.0
+    warm_up_ms: float = 12_000.0
+    cold_from: float = 0.4
+    cold_multiple: float = 2.5
+    cold_window_ms: float = 1500.0
+    drain_grace_ms: float = 1000.0
+    come_back_max_ms: float = 500.0
+    max_attempts: int = 5
+    extra_free: float = 0.0
+    extra_ratio: float = 0.0
+    extra_span_ms: float = 0.0
+    segment_s: float = 2.0
+    scale: float = 0.0005
+    crowd_share: float = 1.0
+
+    def __post_init__(self) -> None:
+        if self.holders > self.boxes:
+            raise ValueError(f"holders {self.holders} is more than boxes {self.boxes}")
+        known = {f"b{k}" for k in range(self.boxes)} | {f"d{k}" for k in range(self.directors)}
+        known |= {f"r{k}" for k in range(self.racks)} | {f"t{k}" for k in range(self.titles)}
+        known |= {"", "boxes"}
+        for step in self.steps:
+            if step.on not in known:
+                raise ValueError(
+                    f"step at {step.at_s}: {step.on} is no box, director, rack or title of this day"
+                )
+
+
+def load_scenario(path: Path) -> Scenario:
+    """Read a scenario file. Raises ConfigError."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise ConfigError(Place(str(path), 1, 1), "", f"cannot be read: {error}") from error
+    return bind(read_forms(text, str(path)), Scenario, "scenario")
+
+
+def built_in(name: str) -> Scenario:
+    """One of the days that ship with the program. Raises KeyError."""
+    file = resources.files("foxlift.rehearsal") / "days" / f"{name}.sexp"
+    if not file.is_file():
+        raise KeyError(name)
+    return bind(read_forms(file.read_text(encoding="utf-8"), f"{name}.sexp"), Scenario, "scenario")
--- a/foxlift/standins/checker.py
+++ b/foxlift/standins/checker.py
@@ -14,6 +14,7 @@
 from collections import defaultdict
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from itertools import pairwise
 from pathlib import Path
 from typing import Any
 
@@ -217,7 +218,7 @@
 
 
 def _chunks(data: bytes, at: int) -> tuple[bytes, int, bool]:
-    parts = []
+    parts: list[bytes] = []
     while True:
         end = data.find(b"\r\n", at)
         if end < 0:
@@ -352,7 +353,7 @@
                 if any(not _never_ran(earlier) for earlier in found[:k]):
                     self._break(2, later.asked.first, f"{claim}: paid and set up again ({_set_up_id(later)})")
         for session, found in by_session.items():
-            for earlier, later in zip(found, found[1:], strict=False):
+            for earlier, later in pairwise(found):
                 ended = earlier.ended
                 if ended is None or ended > later.asked.first + APART_S:
                     self._break(2, later.asked.first, f"{session}: two attempts out at once")
