--- a/foxlift/http/client.py
+++ b/foxlift/http/client.py
@@ -118,8 +118,11 @@
             connection.abort()  # an answer may still come on it: it can serve no other call
 
     def _go(self, connection: _ClientConnection) -> None:
-        self._connection, self.phase = connection, Phase.LEFT
-        connection.begin(self, self._data)
+        self._connection = connection
+        if connection.begin(self, self._data):
+            self.phase = Phase.LEFT
+        else:  # closed under our hands, before a byte was handed over
+            self._pool.loop.call_soon(self._settle, Failure(FailureKind.CONNECT, False, "closed"))
 
     def _head(self, answer: Answer) -> None:
         self.phase = Phase.BODY
@@ -157,11 +160,14 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
 
-    def begin(self, call: Call, data: bytes) -> None:
+    def begin(self, call: Call, data: bytes) -> bool:
+        """Hand the request over; False where the connection is closed already and nothing was."""
+        if self.transport is None or self.transport.is_closing():
+            return False
         self.call = call
         self._reset()
-        if self.transport is not None:
-            self.transport.write(data)
+        self.transport.write(data)
+        return True
 
     def _reset(self) -> None:
         self._headers, self._body = [], []
--- a/foxlift/http/server.py
+++ b/foxlift/http/server.py
@@ -23,6 +23,8 @@
 
 from foxlift.http.messages import Headers, Limits, Request, encode_head, problem
 
+MAX_FIELDS = 100  # header fields of one request, repeated ones counted each time
+
 Handler = Callable[["Exchange"], None]
 
 
@@ -129,7 +131,7 @@
         self._url = b""
         self._headers: dict[str, str] = {}
         self._body: list[bytes] = []
-        self._header_size = self._body_size = 0
+        self._header_size = self._body_size = self._header_count = 0
         self._first_byte = 0.0
         self._deadline = 0.0
         self._timer: asyncio.TimerHandle | None = None
@@ -175,8 +177,6 @@
             self._parser.feed_data(data)
         except _Refused as refused:
             self._refuse(refused.status, refused.title)
-        except httptools.HttpParserUpgrade:
-            self._refuse(400, "upgrade is not offered")
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
             if isinstance(cause, _Refused):
@@ -205,7 +205,7 @@
     # ---- httptools ----------------------------------------------------------------------------------------
     def on_message_begin(self) -> None:
         self._url, self._headers, self._body = b"", {}, []
-        self._body_size = 0
+        self._body_size = self._header_count = 0
         self.state = _State.HEAD
 
     def on_url(self, url: bytes) -> None:
@@ -215,7 +215,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         key = name.decode("latin-1").lower()
-        if len(self._headers) > 100:
+        self._header_count += 1
+        if self._header_count > MAX_FIELDS:
             raise _Refused(431, "too many header fields")
         text = value.decode("latin-1")
         self._headers[key] = f"{self._headers[key]}, {text}" if key in self._headers else text
@@ -225,6 +226,8 @@
         size = len(self._url) + sum(len(k) + len(v) for k, v in self._headers.items())
         if size > self.server.limits.max_header_bytes:
             raise _Refused(431, "header section too large")
+        if self._parser.should_upgrade():
+            raise _Refused(400, "upgrade is not offered")
         length = self._headers.get("content-length", "0")
         if length.isdigit() and int(length) > self.server.limits.max_body_bytes:
             raise _Refused(413, "body too large")
