--- a/foxlift/standins/checker.py
+++ b/foxlift/standins/checker.py
@@ -327,6 +327,10 @@
             limit = exchange.asked.first + (terms.deadline_s if terms else 5.0) + self.terms.slack_s
             answer = exchange.answer
             if answer is not None and answer.whole:
+                if exchange.status == 200 and not shown_rungs(answer.body):
+                    self._break(
+                        1, answer.last, f"{director}: {claims['jti']}: answered 200 without a manifest"
+                    )
                 if answer.last > limit:
                     late = answer.last - limit
                     self._break(1, answer.last, f"{director}: {claims['jti']}: answered {late:.3f} s late")
@@ -547,8 +551,12 @@
 
 
 def shown_rungs(body: bytes) -> set[int]:
-    """Rungs of the Representations of the first video set; their ids are `v0`, `v1`, ..."""
-    for video in ET.fromstring(body).iter(f"{NS}AdaptationSet"):
+    """Rungs of the first video set, whose Representations are `v0`, `v1`, ...; empty where there is no manifest."""
+    try:
+        root = ET.fromstring(body)
+    except ET.ParseError:
+        return set()
+    for video in root.iter(f"{NS}AdaptationSet"):
         if video.get("contentType") == "video":
             return {int((r.get("id") or "v0")[1:]) for r in video.findall(f"{NS}Representation")}
     return set()
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -20,6 +20,7 @@
 from foxlift.director import Daemon
 from foxlift.logic import Director
 from foxlift.standins.fleet import BoxPlan, Fleet, FleetPlan
+from foxlift.standins.tap import Recorder, Tap
 from foxlift.store import FilePort
 from foxlift.tokens import Issuer, SessionToken
 
@@ -61,6 +62,7 @@
     issuer: Issuer
     trace: list[tuple[fl.Event, list[fl.Action]]] = field(default_factory=list)
     extra: list[Daemon] = field(default_factory=list)
+    recorder: Recorder | None = None
 
     def token(self, claim: str, klass: str = "briefing", title: str = "t1", **more: Any) -> str:
         made = SessionToken(claim, "viewer-" + claim, title, klass, "t", 2_000_000_000)
@@ -160,6 +162,7 @@
     make: Callable[[fl.Settings, int], Director] = Director,
     files: FilePort | None = None,
     titles: tuple[tuple[str, int, int], ...] = (("t1", 0, 4), ("t2", 0, 2)),
+    taps: bool = False,
 ) -> None:
     """Run a test in a world of its own."""
 
@@ -176,6 +179,8 @@
                 BoxPlan(f"b{k}", "east", "std", k % 4, f"r{k % 2}", 30, 7000.0) for k in range(boxes)
             ),
             uplink_kb=12000.0,
+            cold_multiple=2.0,
+            cold_window_ms=1000.0,
             warm_up_ms=2000.0,
             set_up_ms=10.0,
             notice_ms=20.0,
@@ -184,19 +189,37 @@
             tell_every_ms=300.0,
             segment_s=0.2,
         )
+        recorder = Recorder(folder / "taps.bin", loop)
+        box_taps = [Tap(f"box:b{k}", recorder, loop) for k in range(boxes)] if taps else []
+        if taps:
+            ports = [await tap.listen() for tap in box_taps]
+            announced = tuple(
+                msgspec.structs.replace(box, announce=port)
+                for box, port in zip(made.boxes, ports, strict=True)
+            )
+            made = msgspec.structs.replace(made, boxes=announced)
         fleet = Fleet(msgspec.structs.replace(made, **(plan or {})), loop)
         await fleet.start()
+        list_port = fleet.list_port
+        for k, tap in enumerate(box_taps):
+            tap.target = fleet.boxes[f"b{k}"].port
+        if taps:
+            list_tap, front_tap = Tap("list:d0", recorder, loop), Tap("director:d0", recorder, loop)
+            list_tap.target, list_port = fleet.list_port, await list_tap.listen()
+            box_taps += [list_tap, front_tap]
         trace: list[tuple[fl.Event, list[fl.Action]]] = []
         director = Daemon(
-            settings(folder, fleet.list_port, edit=edit),
+            settings(folder, list_port, edit=edit),
             loop,
             trace=lambda _, event, actions: trace.append((event, actions)),
             make=make,
             files=files,
         )
         port = await director.start()
+        if taps:
+            front_tap.target, port = port, await front_tap.listen()
         issuer = Issuer(KeySet([OctKey.import_key(KEY)]), "i", "foxlift")  # type: ignore[arg-type]
-        world = World(folder, loop, fleet, director, port, issuer, trace)
+        world = World(folder, loop, fleet, director, port, issuer, trace, recorder=recorder)
         try:
             await world.until(lambda: len(director.core.boxes) == boxes)
             await test(world)
@@ -204,5 +227,9 @@
             for daemon in (director, *world.extra):
                 await daemon.stop(0.0)
             await fleet.stop()
+            for tap in box_taps:
+                tap.close()
+            await asyncio.sleep(0.02)
+            recorder.close()
 
     uvloop.run(main())
--- /dev/null
+++ b/tests/test_checker.py
@@ -0,0 +1,241 @@
+"""Each rule of the checker is shown to fail on a director broken on purpose, and to hold on an honest one."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+from sockets import World, run
+
+from foxlift import interface as fl
+from foxlift.http import Exchange
+from foxlift.logic import Director
+from foxlift.standins.checker import Broken, Checker, ClassTerms, Terms, read_records
+
+SOURCE_IDS = 'id="hi"', 'id="lo"', 'id="mid"'
+GRADED = ClassTerms(True, 1.5, 3.0, 3.0, 0, 2)
+BRIEFING = ClassTerms(False, 1.0, 5.0, 1.0, 0, 2)
+TERMS = Terms(
+    {"graded": GRADED, "briefing": BRIEFING},
+    (0.25, 0.6, 1.0),
+    {f"b{k}": 30 for k in range(4)},
+    cold_multiple=2.0,
+    cold_window_s=1.0,
+    warm_up_s=2.0,
+)
+Script = Callable[[World], Awaitable[None]]
+
+
+def judge(folder: Path, script: Script, terms: Terms = TERMS, **more: Any) -> list[Broken]:
+    """Run a script behind taps and judge it."""
+
+    async def named(world: World) -> None:
+        # the checker reads rungs from ids; the samples name them otherwise
+        source = world.director.catalogue.titles["t1"].source
+        for representation in source._root.iter("{urn:mpeg:dash:schema:mpd:2011}Representation"):
+            new = {"lo": "v0", "mid": "v1", "hi": "v2"}.get(representation.get("id", ""))
+            if new:
+                representation.set("id", new)
+        await script(world)
+
+    run(folder, named, taps=True, **more)
+    return Checker(folder / "taps.bin", terms).judge().broken
+
+
+def rules(broken: list[Broken]) -> set[int]:
+    return {b.rule for b in broken}
+
+
+async def plain(world: World) -> None:
+    tokens = [world.token(f"c{k}", "graded" if k % 3 else "briefing") for k in range(12)]
+    replies = await asyncio.gather(*map(world.manifest, tokens))
+    assert {reply.status for reply in replies} == {200}
+    await asyncio.gather(*map(world.manifest, tokens))
+
+
+def test_an_honest_director_on_a_plain_day_breaks_nothing(tmp_path: Path) -> None:
+    assert judge(tmp_path, plain) == []
+
+
+def test_rule_1_a_refusal_that_is_never_sent(tmp_path: Path) -> None:
+    async def script(world: World) -> None:
+        for name in world.fleet.boxes:
+            world.fleet.command("drain", name)
+        boxes = world.director.core.boxes
+        await world.until(lambda: all(b.status is fl.Status.DRAINING for b in boxes.values()))
+        world.director._answer_refused = lambda *_: None  # type: ignore[method-assign]
+        reader, writer = await asyncio.open_connection("127.0.0.1", world.port)
+        target = f"/dash/t1/manifest.mpd?token={world.token('a')}"
+        writer.write(f"GET {target} HTTP/1.1\r\nhost: x\r\n\r\n".encode())
+        await asyncio.sleep(1.0)
+        writer.close()
+        assert await reader.read() == b""
+
+    terms = replace(TERMS, classes={"briefing": replace(BRIEFING, deadline_s=0.9)})
+    assert rules(judge(tmp_path, script, terms)) == {1}
+
+
+@pytest.mark.parametrize("kind", ["twice", "late", "dropped"])
+def test_rule_1_an_answer_twice_late_or_dropped(tmp_path: Path, kind: str) -> None:
+    async def script(world: World) -> None:
+        daemon, shown = world.director, world.director._show
+
+        def show(action: Any) -> None:
+            exchange: Exchange = daemon._held[action.request].exchange
+            connection = exchange._connection
+            assert connection is not None
+            if kind == "dropped":
+                connection.abort()
+            elif kind == "late":
+                daemon.timeline.later(700.0, lambda: shown(action))
+            else:
+                connection.send(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+                shown(action)
+
+        daemon._show = show  # type: ignore[method-assign,assignment]
+        with contextlib.suppress(ConnectionError):
+            reply = await world.manifest(world.token("a"))
+            assert reply.status == (0 if kind == "dropped" else 200)
+
+    terms = replace(TERMS, classes={"briefing": replace(BRIEFING, deadline_s=0.5)})
+    assert 1 in rules(judge(tmp_path, script, terms))
+
+
+class PaysTwice(Director):
+    """Sends a paid set-up again though it may have run."""
+
+    def _may_try_again(self, session: Any) -> bool:
+        return bool(session.attempts < 3)
+
+
+class RefusesWhatRan(Director):
+    """Says that a further try is harmless when it is not."""
+
+    def _give_up(self, session: Any) -> None:
+        self.sessions.pop(session.ask.session, None)
+        self.held.pop(session.ask.session, None)
+        self.out.append(fl.Refuse(session.ask.session, 100.0))
+
+
+@pytest.mark.parametrize("make", [Director, PaysTwice, RefusesWhatRan])
+def test_rule_2_a_paid_set_up_again_or_refused_after_it_may_have_run(
+    tmp_path: Path, make: type[Director]
+) -> None:
+    async def script(world: World) -> None:
+        for box in world.fleet.boxes.values():
+            box._put = lambda exchange, set_up: exchange.reply_problem(500, "x")  # type: ignore[method-assign]
+        await world.manifest(world.token("a", "graded"))
+
+    broken = judge(tmp_path, script, make=make)
+    assert rules(broken) == (set() if make is Director else {2})
+    if make is not Director:
+        assert ("set up again" if make is PaysTwice else "refused") in broken[0].what
+
+
+class IgnoresDrains(Director):
+    """Takes every listed box for ready."""
+
+    def _listed(self, info: fl.NodeInfo, kind: fl.ListKind) -> None:
+        super()._listed(replace(info, status=fl.Status.READY), kind)
+
+
+@pytest.mark.parametrize("make", [Director, IgnoresDrains])
+def test_rule_3_new_work_for_a_box_that_drains(tmp_path: Path, make: type[Director]) -> None:
+    async def script(world: World) -> None:
+        for name in ("b0", "b1"):
+            world.fleet.command("drain", name)
+        boxes = world.director.core.boxes.values()
+        await world.until(lambda: sum(b.status is fl.Status.DRAINING for b in boxes) == 2)
+        await asyncio.sleep(0.3)
+        await world.manifest(world.token("a", title="t2"), "t2")
+
+    broken = judge(tmp_path, script, replace(TERMS, drain_grace_s=0.2), make=make)
+    assert rules(broken) == (set() if make is Director else {3})
+
+
+class HeedsNoCold(Director):
+    """Sends a cold box all that comes."""
+
+    def _warm_enough(self, node: Any, ask: fl.Ask, others: Any) -> bool:
+        return True
+
+
+@pytest.mark.parametrize("make", [Director, HeedsNoCold])
+def test_rule_4_a_cold_box_flooded(tmp_path: Path, make: type[Director]) -> None:
+    async def script(world: World) -> None:
+        assert world.recorder is not None
+        world.fleet.boxes["b0"].die()
+        world.recorder.mark("return", box="b0")
+        world.fleet.command("return", "b0")
+        started = next(box for box in world.director.core.boxes.values() if box.name == "b0").number
+        boxes = world.director.core.boxes
+        await world.until(lambda: boxes[started].started_unix_ms > 0)
+        world.fleet.command("drain", "b1")
+        await asyncio.sleep(0.1)
+        tokens = [world.token(f"c{k}", title="t2") for k in range(40)]
+        await asyncio.gather(*(world.manifest(token, "t2") for token in tokens))
+
+    edit = "(ladder-kb 100 300 800) => (ladder-kb 10 30 80)"
+    broken = judge(tmp_path, script, make=make, edit=edit)
+    assert rules(broken) == (set() if make is Director else {4})
+
+
+@pytest.mark.parametrize("honest", [True, False])
+def test_rule_5_a_floor_and_seats_that_are_not_heeded(tmp_path: Path, honest: bool) -> None:
+    async def script(world: World) -> None:
+        for box in world.fleet.boxes.values():
+            box.command("weaken", 0.15)
+        tokens = [world.token(f"c{k}", "briefing", title="t2") for k in range(8)]
+        await asyncio.gather(*(world.manifest(token, "t2") for token in tokens))
+
+    stated = "(worth 1) (top 2) => (worth 1) (top 2) (floor 1) (seats 3)"
+    terms = replace(TERMS, classes={"briefing": replace(BRIEFING, floor=1, seats=3)})
+    broken = judge(tmp_path, script, terms, edit=stated if honest else "")
+    whats = " ".join(b.what for b in broken)
+    assert rules(broken) == (set() if honest else {5})
+    assert honest or ("shown rungs" in whats and "sessions of t2" in whats)
+
+
+@pytest.mark.parametrize("honest", [True, False])
+def test_rule_6_further_attempts_beyond_the_budget(tmp_path: Path, honest: bool) -> None:
+    async def script(world: World) -> None:
+        for name in world.fleet.boxes:
+            world.fleet.command("lose-answers", name, 1.0)
+        tokens = [world.token(f"c{k}") for k in range(4)]
+        await asyncio.gather(*map(world.manifest, tokens))
+
+    stated = "(come-back-max-ms 500) => (come-back-max-ms 500) (extra-free 1) (extra-span-ms 5000)"
+    terms = replace(TERMS, extra_free=1.0, extra_span_s=5.0)
+    broken = judge(tmp_path, script, terms, edit=stated if honest else "")
+    assert rules(broken) == (set() if honest else {6})
+
+
+def test_two_attempts_out_at_once_are_seen(tmp_path: Path) -> None:
+    """The product's own guard raises before this can happen: the traffic is written by hand."""
+    path = tmp_path / "taps.bin"
+    order = {"director": "d0", "title": "t1", "class": "briefing", "claim": "a", "paid": False, "rung": 0}
+
+    def put(t: float, number: int, box: str, attempt: int) -> bytes:
+        body = json.dumps(order).encode()
+        head = f"PUT /sessions/d0.x-1-{attempt} HTTP/1.1\r\nhost: x\r\ncontent-length: {len(body)}\r\n\r\n"
+        data = head.encode() + body
+        opened = {"t": t, "tap": box, "c": number, "k": "open", "n": 0}
+        line = {"t": t, "tap": box, "c": number, "k": "up", "n": len(data)}
+        return json.dumps(opened).encode() + b"\n\n" + json.dumps(line).encode() + b"\n" + data + b"\n"
+
+    path.write_bytes(put(1.0, 1, "box:b0", 0) + put(2.0, 2, "box:b1", 1))
+    assert [b.what for b in Checker(path, TERMS).judge().broken] == ["d0.x-1: two attempts out at once"]
+
+
+def test_a_tap_file_cut_short_is_read_up_to_the_cut(tmp_path: Path) -> None:
+    judge(tmp_path, plain)
+    path = tmp_path / "taps.bin"
+    data, whole = path.read_bytes(), len(list(read_records(path)))
+    path.write_bytes(data[:-3])
+    assert len(list(read_records(path))) in (whole, whole - 1)
