--- a/foxlift/director/core.py
+++ b/foxlift/director/core.py
@@ -240,6 +240,8 @@
 
     def _over(self, session: ev.Session, ran: bool) -> None:
         self.sessions.pop(session.number, None)
+        session.over = True
+        self._out.append(ev.SessionOver(session))
         self._claim(cl.Over(session.number, ran))
 
     # ---- Attempts -----------------------------------------------------------------------------------------
--- a/foxlift/director/daemon.py
+++ b/foxlift/director/daemon.py
@@ -38,6 +38,7 @@
     PoolLimits,
     Server,
 )
+from foxlift.http.messages import encode_head
 from foxlift.logic import Director
 from foxlift.manifest import SessionView
 from foxlift.membership import BoxList, ListAnswer, ListError, ListFailed, Poll, PollDue, read_response
@@ -47,6 +48,7 @@
 from foxlift.tokens import SessionToken, TokenError, Trouble, Verifier, load_keys
 
 LIST_CACHE = "boxes.json"
+READY_EACH = 4  # forms of the same reload kept for one session
 KNOWN_TARGETS = 100_000  # verified targets kept, so that a reload costs no second look at its signature
 
 _LOSSES = {
@@ -124,6 +126,10 @@
                 idle_time_ms=front.idle_time_ms,
             ),
         )
+        self.server.ready = self._ready_answer
+        self._ready: dict[bytes, tuple[ev.Session, tuple[tuple[int, bool], bytes], bytes]] = {}
+        self._ready_of: dict[int, list[bytes]] = {}
+        self._reloads_ready = 0
         self.url = ""
         self.stopping = False
         self._last_request = 0
@@ -332,6 +338,9 @@
                 self._poll(version)
             case ev.SaveList(boxes):
                 self._save_list(boxes)
+            case ev.SessionOver(session):
+                for data in self._ready_of.pop(session.number, ()):
+                    self._ready.pop(data, None)
             case ev.Say(text, session, node, detail):
                 self.log.info(text, session=session, box=node, detail=detail)
 
@@ -349,8 +358,30 @@
         session = show.session
         self.counters.add("manifests")
         body = self._manifest(session, held)
+        held.exchange.remember(lambda data: self._keep_ready(data, session))
         held.exchange.reply(200, _MPD, body)
 
+    def _keep_ready(self, data: bytes, session: ev.Session) -> None:
+        """A player's reloads are the same bytes each time: keep the answer by them while it plays."""
+        known = self._ready_of.setdefault(session.number, [])
+        if session.over or session.manifest is None or len(known) >= READY_EACH:
+            return
+        known.append(data)
+        answer = encode_head(200, _MPD, len(session.manifest[1]), close=False) + session.manifest[1]
+        self._ready[data] = (session, session.manifest, answer)
+
+    def _ready_answer(self, data: bytes) -> bytes | None:
+        found = self._ready.get(data)
+        if found is None:
+            return None
+        session, shown, answer = found
+        if session.over or session.manifest is not shown or shown[0][0] != session.rung:
+            del self._ready[data]
+            self._ready_of[session.number].remove(data)
+            return None
+        self._reloads_ready += 1
+        return answer
+
     def _manifest(self, session: ev.Session, held: _Held) -> bytes:
         """The manifest as last shown, unless its rung has changed since."""
         key = (session.rung, held.token_in_query)
--- a/foxlift/director/events.py
+++ b/foxlift/director/events.py
@@ -106,6 +106,7 @@
     withdrawn: bool = False
     started: float = 0.0  # ms on the module's clock
     manifest: tuple[tuple[int, bool], bytes] | None = None  # as last shown: rung, token in its URLs
+    over: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -212,6 +213,13 @@
     boxes: BoxList
 
 
+@dataclass(frozen=True, slots=True)
+class SessionOver:
+    """Nothing of the session is left."""
+
+    session: Session
+
+
 @dataclass(frozen=True, slots=True)
 class Say:
     """A line for the operators' log."""
@@ -238,5 +246,6 @@
     | StartTimer
     | Poll
     | SaveList
+    | SessionOver
     | Say
 )
--- a/foxlift/http/server.py
+++ b/foxlift/http/server.py
@@ -101,6 +101,11 @@
         if self._connection is not None:
             self._connection.abort()
 
+    def remember(self, with_bytes: Callable[[bytes], None]) -> None:
+        """Before the answer: learn the bytes of this request, if it came whole, alone and is kept alive."""
+        if self._connection is not None and self.keep_alive:
+            self._connection._remember = with_bytes
+
     def _begin(self) -> None:
         if self.answered:
             raise RuntimeError("this exchange was answered already")
@@ -137,6 +142,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._closing = False
         self._paused = False
+        self._messages = 0
+        self._remember: Callable[[bytes], None] | None = None
         self._peer = ""
 
     # ---- asyncio.Protocol ---------------------------------------------------------------------------------
@@ -166,6 +173,19 @@
     def data_received(self, data: bytes) -> None:
         if self.state is _State.CLOSED or self._closing:
             return
+        began_idle = self.state is _State.IDLE and not self.exchanges
+        if began_idle and (answer := self.server.ready(data)) is not None:
+            self._deadline = self.server.loop.time() + self.server.limits.idle_time_ms / 1000
+            self.send(answer)
+            return
+        before = self._messages
+        self._read(data)
+        if began_idle and self._messages == before + 1 and self.state is _State.IDLE:
+            remember, self._remember = self._remember, None
+            if remember is not None:
+                remember(data)
+
+    def _read(self, data: bytes) -> None:
         if self.state is _State.IDLE:
             self._first_byte = self.server.loop.time()
             self._arm(self.server.limits.header_time_ms)
@@ -259,6 +279,8 @@
             arrived=self._first_byte,
         )
         exchange = Exchange(self, request, self._parser.should_keep_alive())
+        self._messages += 1
+        self._remember = None
         self.exchanges.append(exchange)
         self._arm(self.server.limits.idle_time_ms)
         if len(self.exchanges) > self.server.limits.max_pipelined:
@@ -381,6 +403,8 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, handler: Handler, limits: Limits) -> None:
         self.loop, self.handler, self.limits = loop, handler, limits
+        # a whole answer to a whole request whose bytes are known, without reading it again
+        self.ready: Callable[[bytes], bytes | None] = lambda data: None
         self.connections: set[_Connection] = set()
         self.stopping = False
         self.turned_away = self.refused = 0
--- a/foxlift/standins/checker.py
+++ b/foxlift/standins/checker.py
@@ -551,7 +551,7 @@
 
 
 def shown_rungs(body: bytes) -> set[int]:
-    """Rungs of the first video set, whose Representations are `v0`, `v1`, ...; empty where there is no manifest."""
+    """Rungs of the first video set (Representations `v0`, `v1`, ...); empty where there is no manifest."""
     try:
         root = ET.fromstring(body)
     except ET.ParseError:
--- a/tests/test_director.py
+++ b/tests/test_director.py
@@ -10,7 +10,7 @@
 
 import pytest
 from memory import MemoryFiles
-from sockets import World, ask, base_of, parse, run
+from sockets import Reply, World, ask, base_of, parse, run
 
 from foxlift import interface as fl
 from foxlift.store import Verdict
@@ -428,6 +428,40 @@
     run(tmp_path, test, edit=edit)
 
 
+def test_a_remembered_reload_follows_rung_and_end_of_its_session(tmp_path: Path) -> None:
+    async def test(world: World) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", world.port)
+        token = world.token("a")
+
+        async def reload() -> Reply:
+            writer.write(f"GET /dash/t1/manifest.mpd?token={token} HTTP/1.1\r\nhost: x\r\n\r\n".encode())
+            head = await reader.readuntil(b"\r\n\r\n")
+            return parse(head + await reader.readexactly(int(parse(head).headers["content-length"])))
+
+        daemon = world.director
+        first = await reload()
+        assert [(await reload()).body for _ in range(3)] == [first.body] * 3
+        assert daemon._reloads_ready >= 2
+        (session,) = daemon.core.sessions.values()
+        session.rung = 0  # as a SetRung of the module does
+        lower = await reload()
+        assert lower.body.count(b"<Representation") < first.body.count(b"<Representation")
+        assert (await reload()).body == lower.body
+        ready = daemon._reloads_ready
+        (box,) = [b for b in world.fleet.boxes.values() if b.model.sessions]
+        box.die()
+        await world.until(lambda: not daemon.core.sessions)
+        assert not daemon._ready
+        assert not daemon._ready_of
+        again = await reload()
+        assert again.status == 200
+        assert base_of(again) != base_of(first)
+        assert daemon._reloads_ready == ready
+        writer.close()
+
+    run(tmp_path, test)
+
+
 def test_a_stop_answers_what_is_held_and_lets_sessions_run_to_a_stated_end(tmp_path: Path) -> None:
     async def test(world: World) -> None:
         playing = world.token("a")
