Ledger of use by tenant on a segmented, chained log: charges, periods, corrections

The book decides without I/O: an attempt once a token, play by rung cut at periods and tariff versions, closed periods never change, corrections leave a trail; the log has segments, group commit, a torn tail cut off, and a chain that locates a changed record.

--- a/foxlift/config/forms.py
+++ b/foxlift/config/forms.py
@@ -170,7 +170,7 @@
 
 
 def _struct(source: _Source, form: _List, items: list[Any], kind: type[msgspec.Struct], path: str) -> Any:
-    fields = {field.name.replace("_", "-"): field for field in msgspec.structs.fields(kind)}
+    fields = {field.encode_name.replace("_", "-"): field for field in msgspec.structs.fields(kind)}
     given: dict[str, Any] = {}
     places: dict[str, int] = {}
     for item in items:
--- a/foxlift/director/daemon.py
+++ b/foxlift/director/daemon.py
@@ -49,7 +49,7 @@
 
 LIST_CACHE = "boxes.json"
 READY_EACH = 4  # forms of the same reload kept for one session
-KNOWN_TARGETS = 100_000  # verified targets kept, so that a reload costs no second look at its signature
+KNOWN_TARGETS = 10_000  # verified targets kept: what comes again soon costs no second look at its signature
 
 _LOSSES = {
     FailureKind.CONNECT: at.Loss.CONNECT,
--- /dev/null
+++ b/foxlift/ledger/account.py
@@ -0,0 +1,199 @@
+"""From records to what is owed: use by period, tenant, class, rung and tariff version. No I/O, no clock.
+
+An interval of play is cut where a period or a tariff version ends. Use whose period is closed by then becomes
+part of the period that is open (`late`): a closed period never changes. An attempt is charged once for each
+token, whatever the session numbers; the first record of it stands.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+from itertools import pairwise
+
+from foxlift.ledger.records import (
+    Adjusted,
+    Alive,
+    Charged,
+    Closed,
+    Counted,
+    Opened,
+    PeriodTurned,
+    Record,
+    Turned,
+)
+from foxlift.ledger.tariff import HOUR_MS, Tariff, next_period, period_of, period_start
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Line:
+    """What a total is kept for. `of`: the period in which it was used, where that was closed already."""
+
+    period: str
+    tenant: str
+    klass: str
+    rung: int
+    version: int
+    of: str = ""
+
+
+@dataclass(slots=True)
+class Use:
+    """Totals of a line."""
+
+    attempts: int = 0
+    attempts_estimated: int = 0
+    ms: int = 0
+    ms_estimated: int = 0
+
+
+@dataclass(slots=True)
+class Open:
+    """A session that plays."""
+
+    token: str
+    tenant: str
+    klass: str
+    rung: int
+    since: int
+    known: int
+
+
+@dataclass
+class Account:
+    """State of the ledger after some records."""
+
+    lines: dict[Line, Use] = field(default_factory=lambda: defaultdict(Use))
+    counts: dict[tuple[str, str, str, str], int] = field(default_factory=lambda: defaultdict(int))
+    open: dict[str, Open] = field(default_factory=dict)
+    charged: set[str] = field(default_factory=set)
+    states: dict[str, str] = field(default_factory=dict)
+    adjusted: dict[str, Adjusted] = field(default_factory=dict)
+    voided: set[str] = field(default_factory=set)
+    boundaries: Tariff | None = None
+    last_at: int = 0
+
+    def state(self, period: str) -> str:
+        """`open`, `closing` or `closed`."""
+        return self.states.get(period, "open")
+
+    def booked(self, period: str) -> str:
+        """The period that takes what was used in `period`: itself, or the first after it not closed."""
+        while self.state(period) == "closed":
+            period = next_period(period)
+        return period
+
+    def apply(self, record: Record) -> None:
+        """Take one record in. Records that make no sense change nothing: a log is never edited, only read."""
+        self.last_at = max(self.last_at, record.at)
+        match record:
+            case Opened(_, at, session, token, tenant, klass, rung, paid):
+                if paid:
+                    self._charge(at, token, tenant, klass, estimated=False)
+                if session not in self.open:
+                    self.open[session] = Open(token, tenant, klass, rung, at, at)
+            case Turned(_, at, session, rung):
+                self._cut(session, at, estimated=False)
+                if session in self.open:
+                    self.open[session].rung = rung
+            case Closed(_, at, session, estimated):
+                self._cut(session, at, estimated)
+                self.open.pop(session, None)
+            case Alive(at):
+                for found in self.open.values():
+                    found.known = max(found.known, at)
+            case Charged(_, at, _, token, tenant, klass, estimated):
+                self._charge(at, token, tenant, klass, estimated)
+            case Counted(at, tenant, klass, what):
+                self.counts[self.booked(period_of(at)), tenant, klass, what] += 1
+            case PeriodTurned(_, period, state):
+                if state == "closed":
+                    # what plays on across its end is booked up to there while the period still takes it
+                    for session in sorted(self.open):
+                        self._cut(session, period_start(next_period(period)), estimated=False)
+                self.states[period] = state
+            case Adjusted():
+                self.adjusted[record.entry] = record
+                if record.void:
+                    self.voided.add(record.corrects_entry)
+            case _:
+                pass  # exports change nothing that is owed
+
+    def _charge(self, at: int, token: str, tenant: str, klass: str, estimated: bool) -> None:
+        if token in self.charged:
+            return
+        self.charged.add(token)
+        use = self.lines[self._line(at, tenant, klass, -1)]
+        use.attempts += 1
+        use.attempts_estimated += estimated
+
+    def _line(self, at: int, tenant: str, klass: str, rung: int) -> Line:
+        used = period_of(at)
+        booked = self.booked(used)
+        version = self.boundaries.version(at) if self.boundaries is not None else 0
+        return Line(booked, tenant, klass, rung, version, "" if booked == used else used)
+
+    def _cut(self, session: str, at: int, estimated: bool) -> None:
+        """Book what was played up to a time. A clock that stepped back books nothing."""
+        found = self.open.get(session)
+        if found is None or at <= found.since:
+            return
+        cuts = [found.since, at]
+        period = next_period(period_of(found.since))
+        while (start := period_start(period)) < at:
+            cuts.append(start)
+            period = next_period(period)
+        if self.boundaries is not None:
+            cuts += self.boundaries.boundaries(found.since, at)
+        ordered = sorted(set(cuts))
+        for begin, end in pairwise(ordered):
+            use = self.lines[self._line(begin, found.tenant, found.klass, found.rung)]
+            use.ms += end - begin
+            use.ms_estimated += (end - begin) if estimated else 0
+        found.since = found.known = at
+
+    def recover(self) -> list[Closed]:
+        """What closes the sessions that a dead director left open: when they were last known to play."""
+        return [
+            Closed(self.last_at, found.known, session, True) for session, found in sorted(self.open.items())
+        ]
+
+
+@dataclass(frozen=True, slots=True)
+class Owed:
+    """One line of a statement."""
+
+    tenant: str
+    klass: str
+    what: str
+    amount: int
+    unit: str
+    micros: int
+    estimated: int = 0
+
+
+def owed(account: Account, tariff: Tariff, tenant: str, period: str) -> list[Owed]:
+    """A statement's lines, in a fixed order. Hours are charged by the whole of a line, rounded down once."""
+    found: list[Owed] = []
+    for line in sorted(line for line in account.lines if (line.tenant, line.period) == (tenant, period)):
+        use = account.lines[line]
+        late = f", used in {line.of}" if line.of else ""
+        if line.rung < 0:
+            micros = use.attempts * tariff.attempt(line.version, line.klass)
+            what = f"attempts{late}"
+            found.append(
+                Owed(tenant, line.klass, what, use.attempts, "attempts", micros, use.attempts_estimated)
+            )
+        else:
+            micros = use.ms * tariff.hour(line.version, line.klass, line.rung) // HOUR_MS
+            what = f"play at rung {line.rung}{late}"
+            found.append(Owed(tenant, line.klass, what, use.ms, "ms", micros, use.ms_estimated))
+    for entry in sorted(account.adjusted.values(), key=lambda a: (a.at, a.entry)):
+        if (entry.tenant, entry.period) == (tenant, period):
+            target = entry.corrects_entry or entry.corrects_period
+            what = f"{'void of' if entry.void else 'correction of'} {target}: {entry.why} ({entry.by})"
+            found.append(Owed(tenant, entry.klass, what, entry.attempts or entry.ms, "", entry.micros))
+    for (booked, who, klass, what), count in sorted(account.counts.items()):
+        if (who, booked) == (tenant, period):
+            found.append(Owed(tenant, klass, what, count, "requests", 0))
+    return found
--- /dev/null
+++ b/foxlift/ledger/book.py
@@ -0,0 +1,294 @@
+"""The ledger's decisions: what is written down when something happens, and what is refused. No I/O, no clock.
+
+`handle(now_ms, event)` gives back the records to append, in order. A record counts once it is in the log; the
+book applies it at once, so that the next decision sees it.
+
+    period     TimeCame, in a later period    closing    late records are still taken for the grace
+    closing    TimeCame, grace over           closed     nothing in it changes any more
+    open       Close, by the operator         closing, closed
+
+Time in the ledger never steps back: what a clock tells earlier than the last record is taken for the last
+record's.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from foxlift.ledger.account import Account
+from foxlift.ledger.records import (
+    EMPTY_CHAIN,
+    Adjusted,
+    Alive,
+    Charged,
+    Closed,
+    Counted,
+    Linked,
+    Opened,
+    PeriodTurned,
+    Record,
+    Turned,
+    link,
+)
+from foxlift.ledger.tariff import Tariff, next_period, period_of, period_start
+
+ALIVE_EVERY_MS = 2000  # what is estimated after a death is short by at most this
+
+
+class LedgerError(ValueError):
+    """Something that the ledger does not do; says why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Started:
+    """A session's set-up is done and it plays. `when`: by its box's clock, as below."""
+
+    when: int
+    session: str
+    token: str
+    tenant: str
+    klass: str
+    rung: int
+    paid: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Rerung:
+    """A playing session's rung changed."""
+
+    when: int
+    session: str
+    rung: int
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """A session is over."""
+
+    when: int
+    session: str
+
+
+@dataclass(frozen=True, slots=True)
+class TurnedAway:
+    """A request was refused or failed."""
+
+    tenant: str
+    klass: str
+    what: str
+
+
+@dataclass(frozen=True, slots=True)
+class Ran:
+    """A paid set-up of an earlier run ran, as a box or the record of intents tells: charged once."""
+
+    when: int
+    session: str
+    token: str
+    tenant: str
+    klass: str
+    estimated: bool
+
+
+@dataclass(frozen=True, slots=True)
+class TimeCame:
+    """Some time passed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Close:
+    """The operator closes a period now."""
+
+    period: str
+
+
+@dataclass(frozen=True, slots=True)
+class Correct:
+    """The operator corrects a period, or an entry of its own (a correction of a correction)."""
+
+    entry: str
+    tenant: str
+    klass: str
+    attempts: int
+    ms: int
+    micros: int
+    by: str
+    why: str
+    period: str = ""
+    corrects: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Void:
+    """The operator takes an adjusting entry back, whole."""
+
+    entry: str
+    corrects: str
+    by: str
+    why: str
+
+
+Event = Started | Rerung | Ended | TurnedAway | Ran | TimeCame | Close | Correct | Void
+
+
+class Book:
+    """One director's ledger."""
+
+    def __init__(self, tariff: Tariff | None = None, grace_ms: int = 3_600_000) -> None:
+        self.account = Account(boundaries=tariff)
+        self.chain = EMPTY_CHAIN
+        self._grace_ms = grace_ms
+        self._alive_at = 0
+        self._seen: str = ""  # the period of the latest record
+
+    def replay(self, record: Record) -> None:
+        """Take in a record of the log, at the start."""
+        self.chain = link(self.chain, record).chain
+        self.account.apply(record)
+        self._seen = max(self._seen, period_of(record.at))
+
+    def recover(self) -> list[Linked]:
+        """After the last record of an earlier run: close what it left open, as estimated."""
+        return [self._write(record) for record in self.account.recover()]
+
+    def handle(self, now_ms: int, event: Event) -> list[Linked]:
+        """The records of an event. Raises LedgerError for what the operator may not do: nothing is written.
+
+        An operator's event is judged by the periods as they stand: tell TimeCame before it.
+        """
+        now = max(now_ms, self.account.last_at)
+        operators = isinstance(event, Close | Correct | Void)
+        written = [] if operators else [self._write(record) for record in self._time(now)]
+        return written + [self._write(record) for record in self._records(now, event)]
+
+    def _write(self, record: Record) -> Linked:
+        linked = link(self.chain, record)
+        self.replay(record)
+        return linked
+
+    def _records(self, now: int, event: Event) -> list[Record]:
+        account = self.account
+        match event:
+            case Started(when, session, token, tenant, klass, rung, paid):
+                if session in account.open:
+                    return []
+                return [Opened(now, when, session, token, tenant, klass, rung, paid)]
+            case Rerung(when, session, rung):
+                found = account.open.get(session)
+                return [] if found is None or found.rung == rung else [Turned(now, when, session, rung)]
+            case Ended(when, session):
+                return [Closed(now, when, session)] if session in account.open else []
+            case TurnedAway(tenant, klass, what):
+                return [Counted(now, tenant, klass, what)]
+            case Ran(when, session, token, tenant, klass, estimated):
+                if token in account.charged:
+                    return []
+                return [Charged(now, when, session, token, tenant, klass, estimated)]
+            case TimeCame():
+                return []
+            case Close(period):
+                return self._close(now, period)
+            case Correct():
+                return [self._correct(now, event)]
+            case Void():
+                return [self._void(now, event)]
+
+    # ---- Periods ------------------------------------------------------------------------------------------
+    def _time(self, now: int) -> list[Record]:
+        records: list[Record] = []
+        if self.account.open and now - self._alive_at >= ALIVE_EVERY_MS:
+            self._alive_at = now
+            records.append(Alive(now))
+        current = period_of(now)
+        period = self._seen
+        while period and period < current:
+            ended = period_start(next_period(period))
+            state = self.account.state(period)
+            if state == "open":
+                records.append(PeriodTurned(now, period, "closing"))
+                state = "closing"
+            if state == "closing" and now >= ended + self._grace_ms:
+                records.append(PeriodTurned(now, period, "closed"))
+            period = next_period(period)
+        # a period that was closing when a later one began is not the last one seen
+        records += [
+            PeriodTurned(now, old, "closed")
+            for old, state in sorted(self.account.states.items())
+            if state == "closing"
+            and old < (self._seen or current)
+            and now >= period_start(next_period(old)) + self._grace_ms
+        ]
+        return records
+
+    def _close(self, now: int, period: str) -> list[Record]:
+        try:
+            start = period_start(period)
+        except ValueError:
+            raise LedgerError(f"{period}: a period is a month, as in 2026-12") from None
+        if self.account.state(period) == "closed":
+            raise LedgerError(f"{period}: closed already")
+        if now < start:
+            raise LedgerError(f"{period}: has not begun")
+        if period == period_of(now):
+            raise LedgerError(f"{period}: is not over")
+        return [PeriodTurned(now, period, "closing"), PeriodTurned(now, period, "closed")]
+
+    # ---- Corrections --------------------------------------------------------------------------------------
+    def _correct(self, now: int, event: Correct) -> Adjusted:
+        account = self.account
+        if event.entry in account.adjusted:
+            raise LedgerError(f"{event.entry}: an entry of this name exists")
+        if not event.by.strip() or not event.why.strip():
+            raise LedgerError("a correction says by whom and why")
+        period = event.period
+        if event.corrects:
+            if event.corrects not in account.adjusted:
+                raise LedgerError(f"{event.corrects}: no such entry")
+            if event.corrects in account.voided:
+                raise LedgerError(f"{event.corrects}: is void")
+            period = account.adjusted[event.corrects].corrects_period
+        try:
+            period_start(period)
+        except ValueError:
+            raise LedgerError(f"{period}: a period is a month, as in 2026-12") from None
+        return Adjusted(
+            at=now,
+            entry=event.entry,
+            period=account.booked(period_of(now)),
+            corrects_period=period,
+            corrects_entry=event.corrects,
+            tenant=event.tenant,
+            klass=event.klass,
+            attempts=event.attempts,
+            ms=event.ms,
+            micros=event.micros,
+            by=event.by,
+            why=event.why,
+        )
+
+    def _void(self, now: int, event: Void) -> Adjusted:
+        account = self.account
+        found = account.adjusted.get(event.corrects)
+        if found is None:
+            raise LedgerError(f"{event.corrects}: no such entry")
+        if event.corrects in account.voided:
+            raise LedgerError(f"{event.corrects}: is void already")
+        if found.void:
+            raise LedgerError(f"{event.corrects}: is itself a void; make a correction instead")
+        if event.entry in account.adjusted:
+            raise LedgerError(f"{event.entry}: an entry of this name exists")
+        return Adjusted(
+            at=now,
+            entry=event.entry,
+            period=account.booked(period_of(now)),
+            corrects_period=found.corrects_period,
+            corrects_entry=event.corrects,
+            tenant=found.tenant,
+            klass=found.klass,
+            attempts=-found.attempts,
+            ms=-found.ms,
+            micros=-found.micros,
+            by=event.by,
+            why=event.why,
+            void=True,
+        )
--- /dev/null
+++ b/foxlift/ledger/journal.py
@@ -0,0 +1,69 @@
+"""The ledger on its log: every record of the book is appended, and a restart takes all of them in again."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from foxlift.ledger.account import Account
+from foxlift.ledger.book import Book, Event
+from foxlift.ledger.records import Linked, decode, encode, find_break
+from foxlift.ledger.tariff import Tariff
+from foxlift.store import FilePort, LogError, SegmentedLog, read_log
+
+NAME = "ledger"
+
+
+def read_records(files: FilePort, after: int = 0) -> Iterator[tuple[int, Linked]]:
+    """Every record with its number, without opening the log for writing. Raises LogError."""
+    for entry in read_log(files, NAME, after):
+        yield entry.sequence, decode(entry.payload, entry.sequence)
+
+
+def read_account(files: FilePort, tariff: Tariff | None = None) -> Account:
+    """The account as the log shows it; for tools beside a running director. Raises LogError."""
+    account = Account(boundaries=tariff)
+    for _, linked in read_records(files):
+        account.apply(linked.record)
+    return account
+
+
+def verify(files: FilePort) -> int:
+    """How many records there are. Raises LogError at the first that does not follow from those before."""
+    linked = [found for _, found in read_records(files)]
+    broken = find_break(linked)
+    if broken is not None:
+        raise LogError(f"ledger: record {broken} does not follow from those before it: changed or taken out")
+    return len(linked)
+
+
+class Journal:
+    """The book and its log. A record is in force at once and lasts with the next group."""
+
+    def __init__(
+        self,
+        files: FilePort,
+        tariff: Tariff | None = None,
+        grace_ms: int = 3_600_000,
+        segment_bytes: int = 64 << 20,
+    ) -> None:
+        """Takes the log in and closes what an earlier run left open. Raises OSError and LogError."""
+        self.book = Book(tariff, grace_ms)
+        self.log = SegmentedLog(files, NAME, segment_bytes)
+        for number, linked in read_records(files):
+            self.book.replay(linked.record)
+            if self.book.chain != linked.chain:
+                raise LogError(f"ledger: record {number} does not follow from those before it")
+        self.recovered = self._append(self.book.recover())
+
+    def handle(self, now_ms: int, event: Event) -> int:
+        """Write down what an event means; gives back how many records. Raises LedgerError."""
+        return self._append(self.book.handle(now_ms, event))
+
+    def _append(self, records: list[Linked]) -> int:
+        for linked in records:
+            self.log.append(encode(linked))
+        return len(records)
+
+    def close(self) -> None:
+        """Let go of the log."""
+        self.log.close()
--- a/foxlift/store/files.py
+++ b/foxlift/store/files.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import os
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -37,7 +38,13 @@
         """Put a whole file in place so that either the old or the new one is there after power loss."""
 
     def open_append(self, name: str) -> SyncFile:
-        """Open for appending. Raises OSError."""
+        """A file for appending; it may be made by its first write only."""
+
+    def names(self) -> list[str]:
+        """Names of all files."""
+
+    def remove(self, name: str) -> None:
+        """Take a file away, if it is there."""
 
 
 class DiskFiles:
@@ -65,12 +72,14 @@
         self._sync_folder()
 
     def open_append(self, name: str) -> SyncFile:
-        path = self.folder / name
-        new = not path.exists()
-        descriptor = os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o600)
-        if new:
-            self._sync_folder()
-        return _DiskFile(descriptor, self)
+        return _DiskFile(self.folder / name, self)
+
+    def names(self) -> list[str]:
+        return sorted(path.name for path in self.folder.iterdir() if path.is_file())
+
+    def remove(self, name: str) -> None:
+        (self.folder / name).unlink(missing_ok=True)
+        self._sync_folder()
 
     def close(self) -> None:
         """Wait for what is under way and end the thread."""
@@ -85,8 +94,9 @@
 
 
 class _DiskFile:
-    def __init__(self, descriptor: int, files: DiskFiles) -> None:
-        self._descriptor, self._files = descriptor, files
+    def __init__(self, path: Path, files: DiskFiles) -> None:
+        self._path, self._files = path, files
+        self._descriptor: int | None = None  # opened on the disk's thread, never on the loop
         self._failed: OSError | None = None
 
     def write_sync(self, data: bytes, done: Done) -> None:
@@ -96,12 +106,27 @@
     def _write(self, data: bytes) -> OSError | None:
         if self._failed is None:
             try:
+                descriptor = self._open()
                 while data:
-                    data = data[os.write(self._descriptor, data) :]
-                os.fdatasync(self._descriptor)
+                    data = data[os.write(descriptor, data) :]
+                os.fdatasync(descriptor)
             except OSError as error:
                 self._failed = error
         return self._failed
 
+    def _open(self) -> int:
+        if self._descriptor is None:
+            new = not self._path.exists()
+            self._descriptor = os.open(self._path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o600)
+            if new:
+                self._files._sync_folder()
+        return self._descriptor
+
     def close(self) -> None:
-        self._files.executor.submit(os.close, self._descriptor)
+        self._files.executor.submit(self._close)
+
+    def _close(self) -> None:
+        if self._descriptor is not None:
+            os.close(self._descriptor)
+            self._descriptor = None
+        self._failed = self._failed or OSError(errno.EBADF, "closed")
--- a/tests/memory.py
+++ b/tests/memory.py
@@ -21,6 +21,12 @@
     def replace(self, name: str, data: bytes) -> None:
         self.data[name] = data
 
+    def names(self) -> list[str]:
+        return sorted(self.data)
+
+    def remove(self, name: str) -> None:
+        self.data.pop(name, None)
+
     def open_append(self, name: str) -> SyncFile:
         return _MemoryFile(self, name)
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -18,9 +18,11 @@
     IntentBook,
     LogError,
     LogReader,
+    SegmentedLog,
     Verdict,
     encode_frame,
     encode_header,
+    read_log,
 )
 
 PAYLOADS = [b"one", b"", b"three" * 20, b"4"]
@@ -154,7 +156,7 @@
         made.close()
         assert set(IntentBook(files, 0.0).known) == {"a"}
         file = files.open_append("other")
-        os.close(file._descriptor)  # type: ignore[attr-defined]
+        file.close()
         for _ in range(2):
             failed = asyncio.get_running_loop().create_future()
             file.write_sync(b"x", failed.set_result)
@@ -181,3 +183,72 @@
         files.close()
 
     asyncio.run(main())
+
+
+# ---- The log in segments ----------------------------------------------------------------------------------
+def entries(files: MemoryFiles, after: int = 0) -> list[tuple[int, bytes]]:
+    return [(entry.sequence, entry.payload) for entry in read_log(files, "l", after)]
+
+
+def test_a_log_goes_on_over_segments_and_restarts() -> None:
+    files = MemoryFiles()
+    for begin in (1, 11, 21):
+        log = SegmentedLog(files, "l", segment_bytes=120)
+        assert log.last == begin - 1
+        for k in range(begin, begin + 10):
+            assert log.append(b"record %d" % k) == k
+        assert log.durable == log.last
+        log.close()
+    assert len(files.names()) > 5
+    assert entries(files) == [(k, b"record %d" % k) for k in range(1, 31)]
+    assert entries(files, 17) == [(k, b"record %d" % k) for k in range(18, 31)]
+
+
+def test_the_last_segment_cut_at_any_byte_keeps_what_was_acknowledged_and_goes_on() -> None:
+    files = MemoryFiles()
+    log, ends = SegmentedLog(files, "l", segment_bytes=100), {}
+    for k in range(1, 9):
+        log.append(b"record %d" % k)
+        ends[k] = (files.names()[-1], len(files.data[files.names()[-1]]))
+    last = files.names()[-1]
+    for cut in range(len(files.data[last]) + 1):
+        damaged = MemoryFiles(files.data)
+        damaged.data[last] = damaged.data[last][:cut]
+        kept = [k for k, (name, end) in ends.items() if name != last or end <= cut]
+        again = SegmentedLog(damaged, "l", segment_bytes=100)
+        assert again.last == len(kept)
+        again.append(b"more")
+        assert entries(damaged) == [(k, b"record %d" % k) for k in kept] + [(len(kept) + 1, b"more")]
+
+
+def test_a_segment_lost_or_cut_with_others_behind_it_is_reported() -> None:
+    files = MemoryFiles()
+    log = SegmentedLog(files, "l", segment_bytes=60)
+    for k in range(9):
+        log.append(b"record %d" % k)
+    first, second, *_ = files.names()
+    lost = MemoryFiles({name: data for name, data in files.data.items() if name != second})
+    with pytest.raises(LogError, match=first):
+        entries(lost)
+    cut = MemoryFiles({**files.data, first: files.data[first][:-1]})
+    with pytest.raises(LogError, match=first):
+        entries(cut)
+
+
+def test_appends_wait_for_the_sync_before_and_fail_together_after_a_failure() -> None:
+    files = MemoryFiles()
+    log = SegmentedLog(files, "l")
+    told: list[tuple[int, bool]] = []
+    files.hold = True
+    for k in range(4):
+        log.append(b"%d" % k, lambda error, k=k: told.append((k, error is None)))  # type: ignore[misc]
+    assert (told, len(files.held), log.durable) == ([], 1, 0)
+    files.release()
+    assert (told, log.durable) == ([(0, True)], 1)
+    files.broken = True
+    files.release()
+    assert told == [(0, True), (1, False), (2, False), (3, False)]
+    files.hold = files.broken = False
+    log.append(b"later", lambda error: told.append((9, error is None)))
+    assert told[-1] == (9, False)
+    assert entries(files) == [(1, b"0")]
