--- a/foxlift/boxes/notices.py
+++ b/foxlift/boxes/notices.py
@@ -42,17 +42,19 @@
 
 
 class RungThere(msgspec.Struct, frozen=True, tag="rung"):
-    """The rung in force for a session."""
+    """The rung in force for a session, since when by the box's clock (Unix ms)."""
 
     session: str
     rung: int
+    at: int = 0
 
 
 class EndedThere(msgspec.Struct, frozen=True, tag="ended"):
-    """A session is over at the box: its viewer had all of it, left, or it was broken off."""
+    """A session is over at the box: its viewer had all of it, left, or it was broken off; `at` as above."""
 
     session: str
     how: str = "done"
+    at: int = 0
 
 
 BoxNotice = Hello | Delivered | LinkUse | RungThere | EndedThere
--- a/foxlift/boxes/resource.py
+++ b/foxlift/boxes/resource.py
@@ -28,10 +28,14 @@
 
 
 class SetUpDone(msgspec.Struct, frozen=True):
-    """Body of the answer 201. `counter` is the box's number of set-ups with this one."""
+    """Body of the answer 201. `counter` is the box's number of set-ups with this one.
+
+    `at` is when it began to run, Unix ms by the box's clock: what is charged goes by it.
+    """
 
     boot: str
     counter: int
+    at: int = 0
 
 
 class RungOrder(msgspec.Struct, frozen=True, rename="kebab"):
--- /dev/null
+++ b/foxlift/cli/ledger.py
@@ -0,0 +1,304 @@
+"""`foxlift ledger`: statements, corrections, closing, checking and merging."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import click
+from rich.console import Console
+from rich.table import Table
+
+from foxlift.config import ConfigError, load_director
+from foxlift.config.settings import DirectorConfig
+from foxlift.ledger import (
+    Close,
+    Correct,
+    Journal,
+    LedgerError,
+    Record,
+    Tariff,
+    TimeCame,
+    Void,
+    load_tariff,
+    owed,
+    read_account,
+    read_records,
+    verify,
+)
+from foxlift.ledger.reconcile import Reconciler
+from foxlift.store import DiskFiles, LogError
+
+BAD_FILES, NO_SYSTEM, NOT_ALLOWED, DIFFERS = 3, 4, 6, 7
+
+
+def _end(code: int, message: str) -> None:
+    click.echo(f"foxlift: {message}", err=True)
+    sys.exit(code)
+
+
+def _settings(path: Path) -> tuple[DirectorConfig, Tariff]:
+    config = load_director(path)
+    if not config.ledger.tariff:
+        raise click.UsageError(f"{path}: states no tariff: (ledger (tariff FILE))")
+    return config, load_tariff(Path(config.ledger.tariff))
+
+
+def _with_files(folder: Path, work: Callable[[DiskFiles], Any]) -> Any:
+    """Run with a state folder's files; errors end the command with their code."""
+
+    async def main() -> Any:
+        files = DiskFiles(folder, asyncio.get_running_loop())
+        try:
+            return work(files)
+        finally:
+            files.close()
+
+    try:
+        return asyncio.run(main())
+    except (LogError, ConfigError) as error:
+        _end(BAD_FILES, str(error))
+    except LedgerError as error:
+        _end(NOT_ALLOWED, str(error))
+    except OSError as error:
+        _end(NO_SYSTEM, str(error))
+
+
+_SETTINGS = click.argument("settings", type=click.Path(path_type=Path))
+_JSON = click.option("--json", "as_json", is_flag=True, help="JSON instead of a table.")
+
+
+@click.group()
+def ledger() -> None:
+    """Use by tenant: statements, corrections, closing a period, checking and merging ledgers.
+
+    Exit codes beside the usual: 6 the ledger does not allow it, 7 ledgers do not fit together.
+    """
+
+
+@ledger.command()
+@_SETTINGS
+@click.option("--tenant", required=True)
+@click.option("--period", required=True, help="A month, as in 2026-12.")
+@_JSON
+def statement(settings: Path, tenant: str, period: str, as_json: bool) -> None:
+    """Print what a tenant owes for a period, from the log alone; also beside a running director.
+
+    \b
+    Example:
+      foxlift ledger statement director.sexp --tenant north --period 2026-12
+    """
+    try:
+        config, tariff = _settings(settings)
+    except ConfigError as error:
+        _end(BAD_FILES, str(error))
+        return
+    account = _with_files(Path(config.state), lambda files: read_account(files, tariff))
+    lines = owed(account, tariff, tenant, period)
+    total = sum(line.micros for line in lines)
+    state = account.state(period)
+    if as_json:
+        rows = [
+            {
+                "class": line.klass,
+                "what": line.what,
+                "amount": line.amount,
+                "unit": line.unit,
+                "estimated": line.estimated,
+                "micros": line.micros,
+            }
+            for line in lines
+        ]
+        found = {"tenant": tenant, "period": period, "state": state, "currency": tariff.currency}
+        click.echo(json.dumps({**found, "lines": rows, "total_micros": total}, sort_keys=True))
+        return
+    table = Table("class", "what", "amount", "of it estimated", f"micro-{tariff.currency}")
+    for line in lines:
+        amount = f"{line.amount} {line.unit}".strip()
+        table.add_row(line.klass, line.what, amount, str(line.estimated or ""), str(line.micros))
+    console = Console()
+    console.print(f"{tenant}, {period} ({state})")
+    console.print(table)
+    console.print(f"total {total} micro-{tariff.currency}")
+
+
+@ledger.command("verify")
+@_SETTINGS
+def verify_command(settings: Path) -> None:
+    """Check the chain over every record of the ledger; names the first that was changed or taken out.
+
+    \b
+    Example:
+      foxlift ledger verify director.sexp
+    """
+    try:
+        config = load_director(settings)
+    except ConfigError as error:
+        _end(BAD_FILES, str(error))
+        return
+    count = _with_files(Path(config.state), verify)
+    click.echo(f"{count} records, each following from those before it")
+
+
+def _write(settings: Path, event: Close | Correct | Void) -> None:
+    try:
+        config, tariff = _settings(settings)
+    except ConfigError as error:
+        _end(BAD_FILES, str(error))
+        return
+
+    async def main() -> OSError | None:
+        loop = asyncio.get_running_loop()
+        files = DiskFiles(Path(config.state), loop)
+        failed: list[OSError] = []
+        try:
+            files.lock()
+            journal = Journal(files, tariff, int(config.ledger.grace_ms), on_failed=failed.append)
+            now = int(time.time() * 1000)
+            journal.handle(now, TimeCame())
+            journal.handle(now, event)
+            while journal.log.durable < journal.log.last and not failed:
+                await asyncio.sleep(0.005)
+            journal.close()
+        finally:
+            files.close()
+        return failed[0] if failed else None
+
+    try:
+        failure = asyncio.run(main())
+    except (LogError, ConfigError) as problem:
+        _end(BAD_FILES, str(problem))
+    except LedgerError as problem:
+        _end(NOT_ALLOWED, str(problem))
+    except OSError as problem:
+        _end(NO_SYSTEM, str(problem))
+    else:
+        if failure is not None:
+            _end(NO_SYSTEM, f"not written: {failure}")
+        click.echo("written")
+
+
+@ledger.command()
+@_SETTINGS
+@click.option("--entry", required=True, help="A name of its own for the entry.")
+@click.option("--tenant", required=True)
+@click.option("--class", "klass", required=True)
+@click.option("--period", default="", help="The period that is corrected.")
+@click.option("--corrects", default="", help="The entry that is corrected, instead of a period.")
+@click.option("--attempts", type=int, default=0)
+@click.option("--ms", type=int, default=0)
+@click.option("--micros", type=int, required=True, help="Millionths of the currency unit, may be negative.")
+@click.option("--by", required=True, help="Who corrects.")
+@click.option("--why", required=True)
+def correct(
+    settings: Path,
+    entry: str,
+    tenant: str,
+    klass: str,
+    period: str,
+    corrects: str,
+    attempts: int,
+    ms: int,
+    micros: int,
+    by: str,
+    why: str,
+) -> None:
+    """Write an adjusting entry into the open period; the director must not run meanwhile.
+
+    \b
+    Example:
+      foxlift ledger correct director.sexp --entry c17 --tenant north --class graded-lesson \\
+        --period 2026-11 --attempts -1 --micros -1500000 --by ann --why "billed twice"
+    """
+    _write(settings, Correct(entry, tenant, klass, attempts, ms, micros, by, why, period, corrects))
+
+
+@ledger.command()
+@_SETTINGS
+@click.option("--entry", required=True, help="A name of its own for the entry.")
+@click.option("--corrects", required=True, help="The entry that is taken back.")
+@click.option("--by", required=True)
+@click.option("--why", required=True)
+def void(settings: Path, entry: str, corrects: str, by: str, why: str) -> None:
+    """Take an adjusting entry back, whole.
+
+    \b
+    Example:
+      foxlift ledger void director.sexp --entry c18 --corrects c17 --by bob --why "was right"
+    """
+    _write(settings, Void(entry, corrects, by, why))
+
+
+@ledger.command("close")
+@_SETTINGS
+@click.argument("period")
+def close_command(settings: Path, period: str) -> None:
+    """Close a period that is over, before its grace ends; the director must not run meanwhile.
+
+    \b
+    Example:
+      foxlift ledger close director.sexp 2026-11
+    """
+    _write(settings, Close(period))
+
+
+@ledger.command()
+@click.argument("states", nargs=-1, required=True, type=click.Path(path_type=Path, exists=True))
+@_JSON
+def reconcile(states: tuple[Path, ...], as_json: bool) -> None:
+    """Merge the ledgers of several directors, by their state folders or copies of them.
+
+    \b
+    Example:
+      foxlift ledger reconcile /var/lib/foxlift/d0 /var/lib/foxlift/d1
+    """
+
+    def records(files: DiskFiles) -> Iterator[tuple[int, Record]]:
+        return ((number, linked.record) for number, linked in read_records(files))
+
+    with tempfile.TemporaryDirectory(prefix="foxlift-merge-") as folder:
+        merger = Reconciler(Path(folder))
+        for state in states:
+            _with_files(state, lambda files, name=state.name: merger.add(name, records(files)))  # type: ignore[misc]
+        result = merger.finish()
+    if as_json:
+        totals = [
+            {
+                "period": period,
+                "tenant": tenant,
+                "class": klass,
+                "attempts": use.attempts,
+                "attempts_estimated": use.attempts_estimated,
+                "ms": use.ms,
+                "ms_estimated": use.ms_estimated,
+            }
+            for (period, tenant, klass), use in sorted(result.totals.items())
+        ]
+        duplicates = [[d.token, d.stands, d.dropped] for d in result.duplicates]
+        click.echo(json.dumps({"totals": totals, "records": result.records, "duplicates": duplicates}))
+    else:
+        table = Table("period", "tenant", "class", "attempts", "estimated", "play ms", "estimated")
+        for (period, tenant, klass), use in sorted(result.totals.items()):
+            table.add_row(
+                period,
+                tenant,
+                klass,
+                str(use.attempts),
+                str(use.attempts_estimated),
+                str(use.ms),
+                str(use.ms_estimated),
+            )
+        Console().print(table)
+        click.echo(f"{result.records} records, {result.duplicate_count} attempts in two ledgers")
+        for found in result.duplicates:
+            click.echo(f"  {found.token}: stands in {found.stands}, dropped from {found.dropped}")
+    if not result.whole:
+        for gap in result.gaps:
+            click.echo(f"{gap.instance}: records {gap.first} to {gap.last} are missing", err=True)
+        sys.exit(DIFFERS)
--- a/foxlift/cli/main.py
+++ b/foxlift/cli/main.py
@@ -1,6 +1,7 @@
-"""`foxlift`: serve, rehearse, token, check-config, standin.
+"""`foxlift`: serve, rehearse, token, check-config, ledger, standin.
 
-Exit codes: 0 done (for `rehearse`: and every rule kept), 1 a rule was broken, 2 wrong usage, 3 settings or
+Exit codes: 0 done (for `rehearse`: and every rule kept), 1 a rule was broken or
+a ledger differs from the sockets, 2 wrong usage, 3 settings or
 files cannot be used, 4 the system does not let it run (ports, disk), 5 a process of a rehearsal failed.
 """
 
@@ -23,6 +24,7 @@
 from rich.console import Console
 
 from foxlift.catalogue import load_catalogue
+from foxlift.cli.ledger import ledger
 from foxlift.config import ConfigError, load_director, module_settings
 from foxlift.director import Daemon
 from foxlift.rehearsal import built_in, load_scenario, print_report, run_day
@@ -222,7 +224,7 @@
         click.echo(write_json(result))
     else:
         print_report(result, Console())
-    if result.verdict.broken:
+    if result.verdict.broken or result.billing.differences:
         sys.exit(BROKEN_RULE)
     if any(result.exits.values()):
         sys.exit(CHILD_FAILED)
@@ -270,5 +272,7 @@
         _end(NO_SYSTEM, f"cannot run: {error}")
 
 
+main.add_command(ledger)
+
 if __name__ == "__main__":
     main()
--- a/foxlift/config/settings.py
+++ b/foxlift/config/settings.py
@@ -151,6 +151,13 @@
     max_answer_bytes: Positive = 65_536
 
 
+class LedgerConfig(msgspec.Struct, frozen=True):
+    """The ledger of use by tenant; the tariff's versions cut what is written down."""
+
+    tariff: str = ""
+    grace_ms: Ms = 3_600_000.0
+
+
 class DirectorConfig(msgspec.Struct, frozen=True):
     """All that `foxlift serve` reads."""
 
@@ -165,6 +172,7 @@
     catalogue: CatalogueConfig
     box_list: BoxListConfig
     boxes: BoxLinkConfig = BoxLinkConfig()
+    ledger: LedgerConfig = LedgerConfig()
     seed: Annotated[int, Meta(ge=0, le=2**63 - 1)] = 0
     stall_ms: Ms = 200.0
 
@@ -191,6 +199,9 @@
         state=str(here / config.state),
         tokens=msgspec.structs.replace(config.tokens, keys=str(here / config.tokens.keys)),
         catalogue=msgspec.structs.replace(config.catalogue, folder=str(here / config.catalogue.folder)),
+        ledger=msgspec.structs.replace(
+            config.ledger, tariff=str(here / config.ledger.tariff) if config.ledger.tariff else ""
+        ),
     )
 
 
--- a/foxlift/decide/attempts.py
+++ b/foxlift/decide/attempts.py
@@ -93,6 +93,7 @@
     counter: int = 0
     boot: str = ""
     load: fl.Load | None = None
+    when: int = 0  # Unix ms by the box's clock, 0 where it did not say
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,11 +123,12 @@
 
 @dataclass(frozen=True, slots=True)
 class EndedAtBox:
-    """The box told that a session is over."""
+    """The box told that a session is over, and when by its own clock (Unix ms)."""
 
     session: int
     attempt: int
     outcome: fl.Outcome
+    when: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -246,6 +248,7 @@
     attempt: int
     node: int
     load: fl.Load | None = None
+    when: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -258,6 +261,7 @@
     outcome: fl.Outcome
     playing: bool
     load: fl.Load | None = None
+    when: int = 0  # by the box's clock; 0: nobody saw the end
 
 
 Action = WriteIntent | Put | AbortPut | PutRung | Release | TellStarted | TellEnded
@@ -325,7 +329,9 @@
             case Lost():
                 return self._lost(found, event)
             case EndedAtBox():
-                return self._end(found, event.outcome) if found.state is _State.PLAYING else []
+                return (
+                    self._end(found, event.outcome, when=event.when) if found.state is _State.PLAYING else []
+                )
 
     # ---- What is known ------------------------------------------------------------------------------------
     def set_up_id(self, session: int, attempt: int) -> str:
@@ -384,7 +390,9 @@
         if not found.wanted:  # the viewer left while this answer was on its way
             return self._end(found, fl.Outcome.CANCELLED, event.load, ghost=True)
         found.state, found.boot, found.counter = _State.PLAYING, event.boot, event.counter
-        started: list[Action] = [TellStarted(found.session, found.attempt, found.node, event.load)]
+        started: list[Action] = [
+            TellStarted(found.session, found.attempt, found.node, event.load, event.when)
+        ]
         if found.rung != found.sent_rung:
             started.append(PutRung(found.session, found.attempt, found.node, found.rung))
         return started
@@ -465,14 +473,21 @@
         return []
 
     def _end(
-        self, found: _Attempt, outcome: fl.Outcome, load: fl.Load | None = None, ghost: bool = False
+        self,
+        found: _Attempt,
+        outcome: fl.Outcome,
+        load: fl.Load | None = None,
+        ghost: bool = False,
+        when: int = 0,
     ) -> list[Action]:
         playing = found.state is _State.PLAYING
         del self._live[found.session]
         self._by_node[found.node].discard(found.session)
         if not self._by_node[found.node]:
             del self._by_node[found.node]
-        told: list[Action] = [TellEnded(found.session, found.attempt, found.node, outcome, playing, load)]
+        told: list[Action] = [
+            TellEnded(found.session, found.attempt, found.node, outcome, playing, load, when)
+        ]
         if ghost:
             set_up = self.set_up_id(found.session, found.attempt)
             self._ghosts[set_up] = found.node
--- a/foxlift/director/core.py
+++ b/foxlift/director/core.py
@@ -13,6 +13,7 @@
 from hashlib import blake2b
 
 from foxlift import interface as fl
+from foxlift import ledger as lg
 from foxlift.boxes import Delivered, EndedThere, Hello, LinkUse, RungThere
 from foxlift.config import DirectorConfig, module_settings
 from foxlift.decide import attempts as at
@@ -101,6 +102,9 @@
             case ev.Remembered(known):
                 played = known.verdict in (Verdict.STARTED, Verdict.ENDED)
                 self._claim(cl.Recalled(known.token, known.expires, played))
+                # a death may have come between the box's answer and the ledger's record of it
+                ran = lg.Ran(int(now), known.set_up, known.token, known.tenant, known.klass, not played)
+                self._out.append(ev.Account(ran))
             case PollDue() | ListAnswer() | ListFailed():
                 self._list(event)
             case (
@@ -203,6 +207,7 @@
             case fl.Refuse(number, come_back_ms):
                 self._refuse(number, come_back_ms)
             case fl.Fail(number):
+                self._turned_away(number, "failed")
                 self._claim(cl.Failed(number))
                 self._forget(number)
             case fl.SetTimer(delay_ms, token):
@@ -226,7 +231,12 @@
             at.Send(action.session, session.attempt, action.node, session.rung, session.paid, until)
         )
 
+    def _turned_away(self, number: int, what: str) -> None:
+        token = self.sessions[number].token
+        self._out.append(ev.Account(lg.TurnedAway(token.tenant, token.klass, what)))
+
     def _refuse(self, number: int, come_back_ms: float) -> None:
+        self._turned_away(number, "refused")
         for answer in self.claims.handle(self._now / 1000, cl.Refused(number)):
             if isinstance(answer, cl.TellRefused):
                 self._out.append(ev.AnswerRefused(answer.request, number, come_back_ms))
@@ -288,6 +298,10 @@
         session.started = self._now
         if session.paid:
             self._out.append(ev.SettleIntent(session.token.id, Verdict.STARTED))
+        set_up = self.attempts.set_up_id(told.session, told.attempt)
+        token, when = session.token, told.when or int(self._now)
+        started = lg.Started(when, set_up, token.id, token.tenant, token.klass, session.rung, session.paid)
+        self._out.append(ev.Account(started))
         self._tell(fl.Started(told.session, told.node, told.attempt, 0.0))
         if told.load is not None:
             for kind, value in (
@@ -305,6 +319,15 @@
         if session.paid:
             verdict = Verdict.ENDED if told.playing else Verdict.MAY_HAVE_RUN if ran else Verdict.NEVER_RAN
             self._out.append(ev.SettleIntent(session.token.id, verdict))
+        set_up = self.attempts.set_up_id(told.session, told.attempt)
+        if told.playing:
+            ended = lg.Ended(told.when or int(self._now), set_up, estimated=not told.when)
+            self._out.append(ev.Account(ended))
+        elif session.paid and ran:
+            # the box may have done it and been paid for it: charged once, and marked as estimated
+            token = session.token
+            unseen = lg.Ran(int(self._now), set_up, token.id, token.tenant, token.klass, True)
+            self._out.append(ev.Account(unseen))
         final = told.playing or session.withdrawn
         if told.playing or told.outcome is not fl.Outcome.OK:
             detail = f"{told.outcome.value}{', was playing' if told.playing else ''}"
@@ -363,13 +386,14 @@
                 self._note(node, set_up, fl.NoteKind.LINK, link)
                 if uplink is not None:
                     self._note(node, set_up, fl.NoteKind.UPLINK, uplink)
-            case RungThere(set_up, rung):
+            case RungThere(set_up, rung, when):
+                self._out.append(ev.Account(lg.Rerung(when or int(self._now), set_up, rung)))
                 self._note(node, set_up, fl.NoteKind.RUNG, float(rung))
-            case EndedThere(set_up, how):
+            case EndedThere(set_up, how, when):
                 found = self._own(set_up)
                 if found is not None:
                     outcome = ENDED.get(how, fl.Outcome.RESET)
-                    self._attempt(at.EndedAtBox(*found, outcome))
+                    self._attempt(at.EndedAtBox(*found, outcome, when))
 
     def _own(self, set_up: str) -> tuple[int, int] | None:
         """Session and attempt of a set-up of this run."""
--- a/foxlift/director/daemon.py
+++ b/foxlift/director/daemon.py
@@ -39,6 +39,8 @@
     Server,
 )
 from foxlift.http.messages import encode_head
+from foxlift.ledger import Journal, TimeCame, load_tariff
+from foxlift.ledger.book import ALIVE_EVERY_MS
 from foxlift.logic import Director
 from foxlift.manifest import SessionView
 from foxlift.membership import BoxList, ListAnswer, ListError, ListFailed, Poll, PollDue, read_response
@@ -109,7 +111,10 @@
         self.verifier = Verifier(
             load_keys(Path(config.tokens.keys)), config.tokens.issuer, config.tokens.audience
         )
+        self.files.lock()
         self.book = IntentBook(self.files, start)
+        tariff = load_tariff(Path(config.ledger.tariff)) if config.ledger.tariff else None
+        self.journal = Journal(self.files, tariff, int(config.ledger.grace_ms), on_failed=self._ledger_failed)
         self.counters = Counters()
         run = format(int(start * 1000) & 0xFFFFFFFFFF, "x")
         self.core = Core(config, self._cached_list(), run, secret, trace, make)
@@ -169,6 +174,7 @@
         for known in self.book.known.values():
             self.feed(ev.Remembered(known))
         self.feed(PollDue())
+        self._ledger_tick()
         port = await self.server.listen(self.config.front.host, self.config.front.port)
         self.url = self.config.front.url or f"http://{self.config.front.host}:{port}"
         self.log.info("listening", url=self.url, recalled=len(self.book.known))
@@ -193,9 +199,18 @@
         for pool in (*self._pools.values(), *self._stream_pools.values(), self._list_pool):
             pool.close()
         self.book.close()
+        self.journal.close()
         if self._disk is not None:
             self._disk.close()
 
+    def _ledger_tick(self) -> None:
+        self.journal.handle(int(self.timeline.now()), TimeCame())
+        self.timeline.later(float(ALIVE_EVERY_MS), self._ledger_tick)
+
+    def _ledger_failed(self, error: OSError) -> None:
+        self.counters.add("ledger records not kept")
+        self.log.error("the ledger cannot be written", detail=str(error))
+
     def _stalled(self, late_ms: float) -> None:
         self.counters.add("stalls")
         self.log.warning("the loop stood still", late_ms=round(late_ms))
@@ -338,6 +353,8 @@
                 self._poll(version)
             case ev.SaveList(boxes):
                 self._save_list(boxes)
+            case ev.Account(entry):
+                self.journal.handle(int(self.timeline.now()), entry)
             case ev.SessionOver(session):
                 for data in self._ready_of.pop(session.number, ()):
                     self._ready.pop(data, None)
@@ -458,9 +475,9 @@
             self.log.error("the record of paid set-ups cannot be written", detail=str(error))
             self.feed(at.IntentFailed(keep.session, keep.attempt))
 
-        intent = Intent(
-            keep.token.id, keep.token.expires + self.config.tokens.leeway_s, keep.box, keep.set_up
-        )
+        token = keep.token
+        until = token.expires + self.config.tokens.leeway_s
+        intent = Intent(token.id, until, keep.box, keep.set_up, token.tenant, token.klass)
         self.book.intend(intent, done)
 
     def _put(self, put: ev.PutSetUp) -> None:
@@ -603,7 +620,7 @@
     load = read_load(found.header(LOAD_HEADER))
     done = read_set_up(found.body) if found.status in (200, 201) else None
     if done is not None:
-        return at.Answered(*key, True, fl.Outcome.OK, done.counter, done.boot, load)
+        return at.Answered(*key, True, fl.Outcome.OK, done.counter, done.boot, load, done.at)
     if found.status in (200, 201):
         # it says done, but not how it may be known: not to be trusted with a viewer
         return at.Lost(*key, at.Loss.GARBAGE, True)
--- a/foxlift/director/events.py
+++ b/foxlift/director/events.py
@@ -7,6 +7,7 @@
 from foxlift.boxes import BoxNotice
 from foxlift.catalogue import Title
 from foxlift.decide import attempts, claims, links
+from foxlift.ledger import Ended, Ran, Rerung, Started, TurnedAway
 from foxlift.membership import BoxList, ListAnswer, ListFailed, Poll, PollDue
 from foxlift.store import Known, Verdict
 from foxlift.tokens import SessionToken
@@ -213,6 +214,13 @@
     boxes: BoxList
 
 
+@dataclass(frozen=True, slots=True)
+class Account:
+    """Write down in the ledger."""
+
+    event: Started | Rerung | Ended | TurnedAway | Ran
+
+
 @dataclass(frozen=True, slots=True)
 class SessionOver:
     """Nothing of the session is left."""
@@ -246,6 +254,7 @@
     | StartTimer
     | Poll
     | SaveList
+    | Account
     | SessionOver
     | Say
 )
--- a/foxlift/ledger/account.py
+++ b/foxlift/ledger/account.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import pairwise
 
@@ -72,6 +73,8 @@
     voided: set[str] = field(default_factory=set)
     boundaries: Tariff | None = None
     last_at: int = 0
+    # for many instances at once: attempts go here instead of into a set that holds every token
+    on_charge: Callable[[int, str, str, str, bool], None] | None = None
 
     def state(self, period: str) -> str:
         """`open`, `closing` or `closed`."""
@@ -120,6 +123,9 @@
                 pass  # exports change nothing that is owed
 
     def _charge(self, at: int, token: str, tenant: str, klass: str, estimated: bool) -> None:
+        if self.on_charge is not None:
+            self.on_charge(at, token, tenant, klass, estimated)
+            return
         if token in self.charged:
             return
         self.charged.add(token)
--- a/foxlift/ledger/book.py
+++ b/foxlift/ledger/book.py
@@ -63,10 +63,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Ended:
-    """A session is over."""
+    """A session is over. `estimated`: nobody saw its end."""
 
     when: int
     session: str
+    estimated: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,8 +177,8 @@
             case Rerung(when, session, rung):
                 found = account.open.get(session)
                 return [] if found is None or found.rung == rung else [Turned(now, when, session, rung)]
-            case Ended(when, session):
-                return [Closed(now, when, session)] if session in account.open else []
+            case Ended(when, session, estimated):
+                return [Closed(now, when, session, estimated)] if session in account.open else []
             case TurnedAway(tenant, klass, what):
                 return [Counted(now, tenant, klass, what)]
             case Ran(when, session, token, tenant, klass, estimated):
--- a/foxlift/ledger/journal.py
+++ b/foxlift/ledger/journal.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from foxlift.ledger.account import Account
 from foxlift.ledger.book import Book, Event
@@ -45,9 +45,11 @@
         tariff: Tariff | None = None,
         grace_ms: int = 3_600_000,
         segment_bytes: int = 64 << 20,
+        on_failed: Callable[[OSError], None] = lambda error: None,
     ) -> None:
         """Takes the log in and closes what an earlier run left open. Raises OSError and LogError."""
         self.book = Book(tariff, grace_ms)
+        self._on_failed = on_failed
         self.log = SegmentedLog(files, NAME, segment_bytes)
         for number, linked in read_records(files):
             self.book.replay(linked.record)
@@ -61,9 +63,13 @@
 
     def _append(self, records: list[Linked]) -> int:
         for linked in records:
-            self.log.append(encode(linked))
+            self.log.append(encode(linked), self._appended)
         return len(records)
 
+    def _appended(self, error: OSError | None) -> None:
+        if error is not None:
+            self._on_failed(error)
+
     def close(self) -> None:
         """Let go of the log."""
         self.log.close()
--- /dev/null
+++ b/foxlift/rehearsal/billing.py
@@ -0,0 +1,135 @@
+"""Holds the merged ledgers of a day against a count made from the taps alone.
+
+The taps' side reads only what was on the sockets: a box's 201 and notices with the times that it stated. The
+ledgers' side is read after the day from each director's state folder. Every attempt that a box confirmed must
+be charged once in all ledgers together; every session whose end its director saw must have the same
+milliseconds on both sides.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from foxlift.ledger import Account, read_records
+from foxlift.ledger.reconcile import Reconciler
+from foxlift.ledger.records import Closed, Opened
+from foxlift.standins.checker import Checker
+from foxlift.store import DiskFiles
+
+
+@dataclass
+class Billing:
+    """What was found; `differences` is empty where both sides agree."""
+
+    attempts: int = 0
+    attempts_estimated: int = 0
+    attempts_on_taps: int = 0
+    sessions: int = 0
+    sessions_estimated: int = 0
+    unrecorded: int = 0  # free sessions whose director died before their record lasted: at no charge
+    ms: int = 0
+    ms_on_taps: int = 0
+    differences: list[str] = field(default_factory=list)
+
+
+@dataclass
+class TapUse:
+    """Use as the sockets show it: by set-up, and the tokens of paid set-ups that a box confirmed."""
+
+    began: dict[str, int] = field(default_factory=dict)
+    ended: dict[str, int] = field(default_factory=dict)
+    paid: dict[str, str] = field(default_factory=dict)  # set-up to token
+    maybe: set[str] = field(default_factory=set)  # tokens of paid set-ups that left, whatever came back
+
+
+def use_on_taps(checker: Checker) -> TapUse:
+    """Count from the traffic: answers to set-ups, and `ended` notices."""
+    use = TapUse()
+    for exchange in checker.exchanges:
+        parts = exchange.target.split("/")
+        if not exchange.connection.tap.startswith("box:") or exchange.method != "PUT" or len(parts) != 3:
+            continue
+        order = json.loads(exchange.asked.body)
+        if order["paid"]:
+            use.maybe.add(order["claim"])
+        if exchange.status in (200, 201) and exchange.answer is not None and exchange.answer.whole:
+            use.began[parts[2]] = json.loads(exchange.answer.body)["at"]
+            if order["paid"]:
+                use.paid[parts[2]] = order["claim"]
+    for connection in checker.connections.values():
+        if connection.tap.startswith("box:"):
+            for event in bytes(connection.down.data).split(b"event: ended\ndata: ")[1:]:
+                found = json.loads(event.split(b"\n", 1)[0])
+                use.ended[found["session"]] = found["at"]
+    return use
+
+
+def hold_against(checker: Checker, states: list[Path]) -> Billing:
+    """Compare. Raises LogError where a ledger cannot be read."""
+    use = use_on_taps(checker)
+    billing = Billing(attempts_on_taps=len(set(use.paid.values())))
+    opened: dict[str, Opened] = {}
+    closed: dict[str, Closed] = {}
+    charged: dict[str, bool] = {}
+
+    async def read() -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            merger = Reconciler(Path(folder))
+            for state in states:
+                files = DiskFiles(state, asyncio.get_running_loop())
+                records = [(number, linked.record) for number, linked in read_records(files)]
+                files.close()
+                merger.add(state.name, records)
+                account = Account(on_charge=lambda _, token, __, ___, sure: charged.update({token: sure}))
+                for _, record in records:
+                    account.apply(record)
+                    if isinstance(record, Opened):
+                        opened[record.session] = record
+                    elif isinstance(record, Closed):
+                        closed[record.session] = record
+            merged = merger.finish()
+            billing.attempts = sum(total.attempts for total in merged.totals.values())
+            billing.attempts_estimated = sum(total.attempts_estimated for total in merged.totals.values())
+            billing.ms = sum(total.ms - total.ms_estimated for total in merged.totals.values())
+
+    asyncio.run(read())
+    _attempts(billing, use, charged)
+    _play(billing, use, opened, closed)
+    return billing
+
+
+def _attempts(billing: Billing, use: TapUse, charged: dict[str, bool]) -> None:
+    if billing.attempts != len(charged):
+        billing.differences.append(f"{billing.attempts} attempts merged, {len(charged)} tokens charged")
+    for token in sorted(set(use.paid.values()) - set(charged)):
+        billing.differences.append(f"{token}: confirmed by a box and never charged")
+    certain = {token for token, estimated in charged.items() if not estimated}
+    for token in sorted(certain - set(use.paid.values())):
+        billing.differences.append(f"{token}: charged as certain, and no box confirmed it")
+
+
+def _play(billing: Billing, use: TapUse, opened: dict[str, Opened], closed: dict[str, Closed]) -> None:
+    billing.sessions = len(opened)
+    billing.unrecorded = sum(1 for set_up in use.began if set_up not in opened and set_up not in use.paid)
+    certain_ms = 0
+    for set_up, record in opened.items():
+        end = closed.get(set_up)
+        if end is None or end.estimated:
+            billing.sessions_estimated += 1
+            # rungs that were left before were seen: their play is certain, and on both sides of no use here
+            continue
+        if set_up not in use.began or set_up not in use.ended:
+            billing.differences.append(f"{set_up}: in a ledger as seen, and not on the sockets")
+            continue
+        on_taps = max(use.ended[set_up] - use.began[set_up], 0)
+        in_ledger = max(end.when - record.when, 0)
+        billing.ms_on_taps += on_taps
+        certain_ms += in_ledger
+        if on_taps != in_ledger:
+            billing.differences.append(f"{set_up}: {in_ledger} ms in the ledger, {on_taps} on the sockets")
+    if certain_ms != billing.ms_on_taps:
+        billing.differences.append(f"{certain_ms} ms in ledgers, {billing.ms_on_taps} on the sockets")
--- a/foxlift/rehearsal/day.py
+++ b/foxlift/rehearsal/day.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from foxlift.rehearsal import files
+from foxlift.rehearsal.billing import Billing, hold_against
 from foxlift.rehearsal.crowd import draw_viewers
 from foxlift.rehearsal.processes import Child
 from foxlift.rehearsal.scenario import Scenario, Step
@@ -34,14 +35,16 @@
     seed: int
     verdict: Verdict
     watched: list[Watching] = field(default_factory=list)
+    billing: Billing = field(default_factory=Billing)
     fallen: list[str] = field(default_factory=list)
     exits: dict[str, int] = field(default_factory=dict)
     seconds: float = 0.0
 
     @property
     def kept(self) -> bool:
-        """Whether every rule was kept and every process ended as it should."""
-        return not self.verdict.broken and not any(self.exits.values())
+        """Whether every rule was kept, the ledgers agree with the taps, every process ended as it should."""
+        agree = not self.billing.differences
+        return not self.verdict.broken and agree and not any(self.exits.values())
 
     @property
     def stalled_s(self) -> float:
@@ -228,9 +231,13 @@
     finally:
         day.close()
     progress(scenario.seconds, "judging what the taps wrote down")
-    day.result.verdict = await asyncio.to_thread(
-        lambda: Checker(folder / "taps.bin", files.terms_of(scenario)).judge()
-    )
+    states = [folder / f"state-d{k}" for k in range(scenario.directors)]
+
+    def judge() -> tuple[Verdict, Billing]:
+        checker = Checker(folder / "taps.bin", files.terms_of(scenario))
+        return checker.judge(), hold_against(checker, states)
+
+    day.result.verdict, day.result.billing = await asyncio.to_thread(judge)
     day.result.watched = day.watched
     day.result.seconds = time.monotonic() - start
     return day.result
--- a/foxlift/rehearsal/report.py
+++ b/foxlift/rehearsal/report.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from dataclasses import asdict
 from typing import Any
 
 from rich.console import Console
@@ -45,6 +46,7 @@
         "stalled_s": round(result.stalled_s, 2),
         "breaks": sum(w.breaks for w in result.watched),
         "reloads": sum(w.reloads for w in result.watched),
+        "billing": asdict(result.billing),
         "exits": result.exits,
         "seconds": round(result.seconds, 1),
     }
@@ -74,6 +76,15 @@
     console.print(rules)
     for broken in result.verdict.broken[:20]:
         console.print(f"rule {broken.rule} at {broken.at:.3f}: {broken.what}", style="red", highlight=False)
+    billing = result.billing
+    console.print(
+        f"ledgers: {billing.attempts} attempts ({billing.attempts_estimated} estimated;"
+        f" {billing.attempts_on_taps} confirmed on the sockets), {billing.sessions} sessions"
+        f" ({billing.sessions_estimated} estimated, {billing.unrecorded} unrecorded),"
+        f" {billing.ms_on_taps} ms seen to their end on both sides"
+    )
+    for difference in billing.differences[:20]:
+        console.print(f"ledger: {difference}", style="red", highlight=False)
     for name, code in result.exits.items():
         if code:
             console.print(f"{name} ended with exit code {code}", style="red")
--- a/foxlift/standins/box.py
+++ b/foxlift/standins/box.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -18,6 +19,11 @@
 PIECES = 4  # in which a segment is sent
 
 
+def unix_ms() -> int:
+    """The box's own clock."""
+    return int(time.time() * 1000)
+
+
 class BoxServer:
     """One box. `scale`: bytes really sent for each byte of the stated rates."""
 
@@ -173,7 +179,7 @@
             self._done(exchange, 201)
 
     def _done(self, exchange: Exchange, status: int) -> None:
-        body = json.dumps({"boot": self.model.boot, "counter": self.model.counter}).encode()
+        body = json.dumps({"boot": self.model.boot, "counter": self.model.counter, "at": unix_ms()}).encode()
         exchange.reply(status, (("content-type", "application/json"), *self._load_header()), body)
 
     def _drip(self, exchange: Exchange) -> None:
@@ -199,7 +205,7 @@
             return
         session.rung, session.rate_kb = order.rung, order.rate_kb
         exchange.reply(204, self._load_header())
-        self._tell(session.director, RungThere(set_up, order.rung))
+        self._tell(session.director, RungThere(set_up, order.rung, unix_ms()))
 
     def _delete(self, exchange: Exchange, set_up: str) -> None:
         # kept for a while: a set-up that was sent before may come after
@@ -295,7 +301,7 @@
 
     def _end(self, session: BoxSession, how: str) -> None:
         del self.model.sessions[session.set_up]
-        self._tell(session.director, EndedThere(session.set_up, how))
+        self._tell(session.director, EndedThere(session.set_up, how, unix_ms()))
 
     def _one_each(self) -> dict[str, str]:
         return {session.director: session.set_up for session in self.model.sessions.values()}
--- a/foxlift/store/files.py
+++ b/foxlift/store/files.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import errno
+import fcntl
 import os
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -46,6 +47,9 @@
     def remove(self, name: str) -> None:
         """Take a file away, if it is there."""
 
+    def lock(self) -> None:
+        """Keep every other opener out until this one is closed or dies. Raises OSError where one is in."""
+
 
 class DiskFiles:
     """Files of one folder on a real disk; syncs run on one thread, in the order in which they were asked."""
@@ -53,6 +57,7 @@
     def __init__(self, folder: Path, loop: asyncio.AbstractEventLoop) -> None:
         folder.mkdir(parents=True, exist_ok=True)
         self.folder, self.loop = folder, loop
+        self._lock: int | None = None
         self.executor = ThreadPoolExecutor(max_workers=1, thread_name_prefix="foxlift-disk")
 
     def read(self, name: str) -> bytes | None:
@@ -81,9 +86,21 @@
         (self.folder / name).unlink(missing_ok=True)
         self._sync_folder()
 
+    def lock(self) -> None:
+        descriptor = os.open(self.folder / "lock", os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            os.close(descriptor)
+            raise OSError(error.errno, f"{self.folder}: in use by another process") from error
+        self._lock = descriptor
+
     def close(self) -> None:
-        """Wait for what is under way and end the thread."""
+        """Wait for what is under way, end the thread, let others in."""
         self.executor.shutdown(wait=True)
+        if self._lock is not None:
+            os.close(self._lock)
+            self._lock = None
 
     def _sync_folder(self) -> None:
         descriptor = os.open(self.folder, os.O_RDONLY)
--- a/foxlift/store/intents.py
+++ b/foxlift/store/intents.py
@@ -37,6 +37,8 @@
     expires: int
     box: str
     set_up: str
+    tenant: str = ""
+    klass: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +50,8 @@
     box: str
     set_up: str
     verdict: Verdict
+    tenant: str = ""
+    klass: str = ""
 
 
 class _Record(msgspec.Struct, omit_defaults=True):
@@ -57,6 +61,8 @@
     b: str = ""
     s: str = ""
     v: str = ""
+    n: str = ""
+    c: str = ""
 
 
 class IntentBook:
@@ -87,7 +93,9 @@
             try:
                 record = msgspec.json.decode(payload, type=_Record)
                 if record.k == "i":
-                    known[record.t] = Known(record.t, record.x, record.b, record.s, Verdict.MAY_HAVE_RUN)
+                    known[record.t] = Known(
+                        record.t, record.x, record.b, record.s, Verdict.MAY_HAVE_RUN, record.n, record.c
+                    )
                 elif record.t in known:
                     known[record.t] = replace(known[record.t], verdict=Verdict(record.v))
             except (msgspec.MsgspecError, ValueError) as error:
@@ -99,7 +107,11 @@
         """Start a log that holds only what still matters: it is bounded by tokens that have not expired."""
         data = encode_header()
         for known in self.known.values():
-            data += self._frame(_Record("i", known.token, known.expires, known.box, known.set_up))
+            data += self._frame(
+                _Record(
+                    "i", known.token, known.expires, known.box, known.set_up, n=known.tenant, c=known.klass
+                )
+            )
             if known.verdict is not Verdict.MAY_HAVE_RUN:
                 data += self._frame(_Record("o", known.token, v=known.verdict.value))
         self._files.replace(NAME, data)
@@ -110,7 +122,11 @@
 
     def intend(self, intent: Intent, done: Callable[[OSError | None], None]) -> None:
         """Record an intent; `done(None)` once it is durable. Never called from inside `intend`."""
-        self._gathering.append(_Record("i", intent.token, intent.expires, intent.box, intent.set_up))
+        self._gathering.append(
+            _Record(
+                "i", intent.token, intent.expires, intent.box, intent.set_up, n=intent.tenant, c=intent.klass
+            )
+        )
         self._waiting.append(done)
         self._write()
 
--- a/tests/memory.py
+++ b/tests/memory.py
@@ -27,6 +27,9 @@
     def remove(self, name: str) -> None:
         self.data.pop(name, None)
 
+    def lock(self) -> None:
+        pass
+
     def open_append(self, name: str) -> SyncFile:
         return _MemoryFile(self, name)
 
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -12,23 +12,13 @@
 
 import pytest
 from sockets import World, run
+from terms import BRIEFING, TERMS
 
 from foxlift import interface as fl
 from foxlift.http import Exchange
 from foxlift.logic import Director
-from foxlift.standins.checker import Broken, Checker, ClassTerms, Terms, read_records
-
-SOURCE_IDS = 'id="hi"', 'id="lo"', 'id="mid"'
-GRADED = ClassTerms(True, 1.5, 3.0, 3.0, 0, 2)
-BRIEFING = ClassTerms(False, 1.0, 5.0, 1.0, 0, 2)
-TERMS = Terms(
-    {"graded": GRADED, "briefing": BRIEFING},
-    (0.25, 0.6, 1.0),
-    {f"b{k}": 30 for k in range(4)},
-    cold_multiple=2.0,
-    cold_window_s=1.0,
-    warm_up_s=2.0,
-)
+from foxlift.standins.checker import Broken, Checker, Terms, read_records
+
 Script = Callable[[World], Awaitable[None]]
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -108,6 +108,8 @@
     result = call("rehearse", "short-day", "--json", "--quiet", "--folder", tmp_path, "--seed", 3)
     report = json.loads(result.stdout)
     assert report["broken"] == []
+    assert report["billing"]["differences"] == []
+    assert report["billing"]["attempts"] >= report["billing"]["attempts_on_taps"] > 5
     assert report["exits"] == {"d0": 0, "d1": 0, "d2": 0, "fleet": 0}
     assert result.exit_code == 0
     assert report["viewers"] == 90
--- /dev/null
+++ b/tests/test_reconcile.py
@@ -0,0 +1,245 @@
+"""Ledgers merged, held against the taps, and on the command line."""
+
+from __future__ import annotations
+
+import json
+import random
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+from hypothesis import given
+from hypothesis import strategies as st
+from memory import MemoryFiles
+from sockets import World, run
+from terms import TERMS
+from test_cli import files as cli_files
+
+from foxlift.cli.main import main
+from foxlift.ledger import Account, Journal, Started, read_records, read_tariff
+from foxlift.ledger.reconcile import Duplicate, Gap, Reconciler
+from foxlift.ledger.records import Charged, Closed, Opened, Record
+from foxlift.ledger.tariff import period_start
+from foxlift.rehearsal.billing import hold_against
+from foxlift.standins.checker import Checker
+
+JAN = period_start("2026-01")
+TARIFF = """(tariff (currency "EUR") (versions (from (date "2020-01-01") (prices
+  (price (class "graded") (attempt-micros 1500000)) (price (class "briefing") (hour-micros 3600000))))))"""
+
+
+def charge(token: str, when: int = JAN, estimated: bool = False) -> Charged:
+    return Charged(when, when, f"s-{token}", token, "north", "graded", estimated)
+
+
+def numbered(*records: Record) -> list[tuple[int, Record]]:
+    return list(enumerate(records, 1))
+
+
+@given(st.data(), st.integers(1, 7))
+def test_merged_totals_are_a_plain_count_whatever_the_order_and_the_memory(
+    tmp_path_factory: Any, data: st.DataObject, most: int
+) -> None:
+    tokens = st.builds(charge, st.sampled_from("abcdefgh"), st.integers(JAN, JAN + 5).map(int), st.booleans())
+    ledgers = {name: data.draw(st.lists(tokens, max_size=8)) for name in ("d0", "d1", "d2")}
+    merger = Reconciler(tmp_path_factory.mktemp("runs"), most)
+    order = data.draw(st.permutations(sorted(ledgers)))
+    for name in order:
+        merger.add(name, numbered(*ledgers[name]))
+    result = merger.finish()
+    every = [record for records in ledgers.values() for record in records]
+    total = sum(use.attempts for use in result.totals.values())
+    estimated = sum(use.attempts_estimated for use in result.totals.values())
+    assert total == len({record.token for record in every})
+    sure = {record.token for record in every if not record.estimated}
+    assert estimated == total - len(sure)
+    assert result.whole
+
+
+def test_the_record_that_stands_is_certain_then_earlier_then_of_the_first_name(tmp_path: Path) -> None:
+    merger = Reconciler(tmp_path, 2)
+    merger.add("d2", numbered(charge("a", JAN, True), charge("b", JAN + 5), charge("c", JAN)))
+    merger.add("d1", numbered(charge("a", JAN + 9), charge("b", JAN + 6), charge("c", JAN)))
+    assert sorted(merger.finish().duplicates, key=lambda d: d.token) == [
+        Duplicate("a", "d1", "d2"),
+        Duplicate("b", "d2", "d1"),
+        Duplicate("c", "d1", "d2"),
+    ]
+    assert not list(tmp_path.iterdir())
+
+
+def test_missing_records_are_named_and_repeated_ones_passed_over(tmp_path: Path) -> None:
+    records = numbered(*(charge(str(k)) for k in range(9)))
+    merger = Reconciler(tmp_path)
+    merger.add("d0", [*records[:3], *records[1:4], *records[6:]])
+    result = merger.finish()
+    assert result.gaps == [Gap("d0", 5, 6)]
+    assert not result.whole
+    assert result.repeated == 2
+    assert sum(use.attempts for use in result.totals.values()) == 7
+
+
+def test_more_attempts_than_memory_may_hold_are_merged_on_disk(tmp_path: Path) -> None:
+    chance = random.Random(1)
+    merger = Reconciler(tmp_path, most=100)
+    tokens = [f"t{k}" for k in range(3000)]
+    for name in ("d0", "d1"):
+        chance.shuffle(tokens)
+        merger.add(name, numbered(*map(charge, tokens[:2500])))
+        assert len(merger._held) < 100
+    result = merger.finish()
+    total = sum(use.attempts for use in result.totals.values())
+    assert 2500 <= total <= 3000
+    assert total == 5000 - result.duplicate_count
+
+
+# ---- On sockets -------------------------------------------------------------------------------------------
+def records_of(data: dict[str, bytes]) -> list[Record]:
+    return [linked.record for _, linked in read_records(MemoryFiles(data))]
+
+
+def account_of(data: dict[str, bytes]) -> Account:
+    account = Account()
+    for record in records_of(data):
+        account.apply(record)
+    return account
+
+
+@pytest.mark.parametrize("moment", ["before the record", "after the record"])
+def test_a_director_killed_around_the_record_of_an_attempt_charges_it_once(
+    tmp_path: Path, moment: str
+) -> None:
+    disk = MemoryFiles()
+
+    async def test(world: World) -> None:
+        assert (await world.manifest(world.token("a", "graded"))).status == 200
+        world.kill()
+        if moment == "before the record":
+            # the ledger's segment never reached the disk; the intent did, before its set-up left
+            for name in disk.names():
+                if name.startswith("ledger-"):
+                    disk.remove(name)
+        again = world.new_director(files=MemoryFiles(disk.data))
+        await again.start()
+        account = again.journal.book.account
+        assert account.charged == {"a"}
+        (use,) = [use for line, use in account.lines.items() if line.rung < 0]
+        assert use.attempts == 1
+        assert use.attempts_estimated == 0 or moment == "before the record"
+        assert account.open == {}
+        third = world.new_director(files=MemoryFiles(again.files.data))  # type: ignore[attr-defined]
+        await third.start()
+        assert sum(use.attempts for use in third.journal.book.account.lines.values()) == 1
+
+    run(tmp_path, test, files=disk)
+
+
+def test_a_set_up_done_whose_answer_was_lost_is_charged_as_estimated_and_a_refusal_is_not(
+    tmp_path: Path,
+) -> None:
+    disk = MemoryFiles()
+
+    async def test(world: World) -> None:
+        for name in world.fleet.boxes:
+            world.fleet.command("lose-answers", name, 1.0)
+        assert (await world.manifest(world.token("a", "graded"))).status == 504
+        for name in world.fleet.boxes:
+            world.fleet.command("drain", name)
+        await world.until(lambda: all(b.status.value == 0 for b in world.director.core.boxes.values()))
+        assert (await world.manifest(world.token("b", "graded"))).status == 503
+        account = world.director.journal.book.account
+        assert account.charged == {"a"}
+        assert [use.attempts_estimated for use in account.lines.values()] == [1]
+        assert sorted(what for _, _, _, what in account.counts) == ["failed", "refused"]
+        assert world.director.book.known == {}
+        assert account_of(disk.data).lines == account.lines
+
+    run(tmp_path, test, files=disk)
+
+
+def test_ledgers_are_held_against_the_taps_and_each_difference_is_seen(tmp_path: Path) -> None:
+    async def test(world: World) -> None:
+        for box in world.fleet.boxes.values():
+            box.idle_s = 0.3
+        for k in range(4):
+            klass = "graded" if k % 2 else "briefing"
+            assert (await world.manifest(world.token(f"c{k}", klass))).status == 200
+        await world.until(lambda: not world.director.core.sessions)
+        await world.until(lambda: world.director.journal.log.durable == world.director.journal.log.last)
+
+    run(tmp_path, test, taps=True)
+    state = tmp_path / "state-d0"
+    checker = Checker(tmp_path / "taps.bin", TERMS)
+    billing = hold_against(checker, [state])
+    assert billing.differences == []
+    assert (billing.attempts, billing.sessions, billing.sessions_estimated) == (2, 4, 0)
+    assert billing.ms == billing.ms_on_taps > 1000
+
+    def changed(change: Any) -> list[str]:
+        data = {path.name: path.read_bytes() for path in state.iterdir()}
+        other = MemoryFiles()
+        journal = Journal(other)
+        for record in records_of(data):
+            for kept in change(record):
+                journal._append([journal.book._write(kept)])
+        folder = tmp_path / "changed"
+        folder.mkdir(exist_ok=True)
+        for name, content in other.data.items():
+            (folder / name).write_bytes(content)
+        return hold_against(checker, [folder]).differences
+
+    def longer(record: Record) -> list[Record]:
+        if isinstance(record, Closed):
+            return [Closed(record.at, record.when + 1, record.session)]
+        return [record]
+
+    def unpaid(record: Record) -> list[Record]:
+        if isinstance(record, Opened) and record.paid:
+            return [Opened(record.at, record.when, record.session, record.token, "n", "g", 0, False)]
+        return [record]
+
+    def invented(record: Record) -> list[Record]:
+        return [record, charge("x")] if isinstance(record, Opened) else [record]
+
+    assert changed(lambda record: [record]) == []
+    assert any("ms in the ledger" in d for d in changed(longer))
+    assert any("never charged" in d for d in changed(unpaid))
+    assert changed(invented) == ["x: charged as certain, and no box confirmed it"]
+
+
+# ---- Command line -----------------------------------------------------------------------------------------
+def call(*arguments: object) -> Any:
+    return CliRunner().invoke(main, ["ledger", *(str(argument) for argument in arguments)])
+
+
+def test_statement_correction_closing_and_checking_from_the_command_line(tmp_path: Path) -> None:
+    path = cli_files(tmp_path)
+    assert call("statement", path, "--tenant", "north", "--period", "2026-01").exit_code == 2
+    (tmp_path / "tariff.sexp").write_text(TARIFF)
+    path.write_text(path.read_text().rstrip()[:-1] + ' (ledger (tariff "tariff.sexp")))')
+    state = tmp_path / "state"
+    state.mkdir()
+    disk = MemoryFiles()
+    journal = Journal(disk, read_tariff(TARIFF, "t"))
+    journal.handle(JAN, Started(JAN, "s1", "t1", "north", "graded", 0, True))
+    for name, data in disk.data.items():
+        (state / name).write_bytes(data)
+    first = call("statement", path, "--tenant", "north", "--period", "2026-01", "--json")
+    assert json.loads(first.output)["total_micros"] == 1_500_000
+    assert call("verify", path).output.startswith("1 records")
+    assert call("close", path, "2026-01").exit_code == 6  # its grace is over long since: closed by the time
+    words = ("--entry", "c1", "--tenant", "north", "--class", "graded", "--micros", -1_500_000)
+    made = call("correct", path, *words, "--period", "2026-01", "--by", "ann", "--why", "twice")
+    assert (made.exit_code, made.output) == (0, "written\n")
+    again = call("statement", path, "--tenant", "north", "--period", "2026-01", "--json")
+    assert json.loads(again.output)["lines"][0] == json.loads(first.output)["lines"][0]
+    assert json.loads(again.output)["state"] == "closed"
+    assert call("correct", path, *words, "--period", "2026-01", "--by", "a", "--why", "b").exit_code == 6
+    assert call("void", path, "--entry", "c2", "--corrects", "c1", "--by", "a", "--why", "b").exit_code == 0
+    assert "north" in call("statement", path, "--tenant", "north", "--period", "2026-01").output
+    merged = call("reconcile", state, "--json")
+    assert json.loads(merged.output)["totals"][0]["attempts"] == 1
+    segment = next(state.glob("ledger-*.seg"))
+    segment.write_bytes(segment.read_bytes()[:40] + b"\0" + segment.read_bytes()[41:])
+    assert call("verify", path).exit_code == 3
