Exports in numbered batches: each record to a folder or receiver exactly once

What a batch holds is written down before it is sent; retries are the same bytes under the same number; exporters fence one another off.

--- a/foxlift/config/settings.py
+++ b/foxlift/config/settings.py
@@ -156,6 +156,13 @@
 
     tariff: str = ""
     grace_ms: Ms = 3_600_000.0
+    export_folder: str = ""
+    export_url: Annotated[str, Meta(pattern=r"^(http://.*)?$")] = ""
+    export_every_ms: Ms = 5000.0
+
+    def __post_init__(self) -> None:
+        if self.export_folder and self.export_url:
+            raise ValueError("export-folder and export-url: only one of them")
 
 
 class DirectorConfig(msgspec.Struct, frozen=True):
@@ -200,7 +207,9 @@
         tokens=msgspec.structs.replace(config.tokens, keys=str(here / config.tokens.keys)),
         catalogue=msgspec.structs.replace(config.catalogue, folder=str(here / config.catalogue.folder)),
         ledger=msgspec.structs.replace(
-            config.ledger, tariff=str(here / config.ledger.tariff) if config.ledger.tariff else ""
+            config.ledger,
+            tariff=str(here / config.ledger.tariff) if config.ledger.tariff else "",
+            export_folder=str(here / config.ledger.export_folder) if config.ledger.export_folder else "",
         ),
     )
 
--- a/foxlift/director/daemon.py
+++ b/foxlift/director/daemon.py
@@ -25,6 +25,7 @@
 from foxlift.decide.claims import Why
 from foxlift.director import events as ev
 from foxlift.director.core import Core
+from foxlift.director.exports import ExportRunner, FileDrop, HttpReceiver, Target
 from foxlift.director.timeline import Timeline
 from foxlift.http import (
     Answer,
@@ -115,6 +116,7 @@
         self.book = IntentBook(self.files, start)
         tariff = load_tariff(Path(config.ledger.tariff)) if config.ledger.tariff else None
         self.journal = Journal(self.files, tariff, int(config.ledger.grace_ms), on_failed=self._ledger_failed)
+        self.exports = self._make_exports()
         self.counters = Counters()
         run = format(int(start * 1000) & 0xFFFFFFFFFF, "x")
         self.core = Core(config, self._cached_list(), run, secret, trace, make)
@@ -175,6 +177,8 @@
             self.feed(ev.Remembered(known))
         self.feed(PollDue())
         self._ledger_tick()
+        if self.exports is not None:
+            self.exports.begin()
         port = await self.server.listen(self.config.front.host, self.config.front.port)
         self.url = self.config.front.url or f"http://{self.config.front.host}:{port}"
         self.log.info("listening", url=self.url, recalled=len(self.book.known))
@@ -196,6 +200,8 @@
         if self.timeline.closed:
             return
         self.timeline.close()
+        if self.exports is not None:
+            self.exports.close()
         for pool in (*self._pools.values(), *self._stream_pools.values(), self._list_pool):
             pool.close()
         self.book.close()
@@ -211,6 +217,18 @@
         self.counters.add("ledger records not kept")
         self.log.error("the ledger cannot be written", detail=str(error))
 
+    def _make_exports(self) -> ExportRunner | None:
+        target: Target
+        if self.config.ledger.export_folder:
+            target = FileDrop(self.loop, Path(self.config.ledger.export_folder), self.config.name)
+        elif self.config.ledger.export_url:
+            target = HttpReceiver(self.loop, self.config.ledger.export_url, self.config.name)
+        else:
+            return None
+        return ExportRunner(
+            self.journal, self.files, target, self.timeline, self.config.ledger.export_every_ms
+        )
+
     def _stalled(self, late_ms: float) -> None:
         self.counters.add("stalls")
         self.log.warning("the loop stood still", late_ms=round(late_ms))
--- a/foxlift/ledger/book.py
+++ b/foxlift/ledger/book.py
@@ -150,7 +150,7 @@
 
     def recover(self) -> list[Linked]:
         """After the last record of an earlier run: close what it left open, as estimated."""
-        return [self._write(record) for record in self.account.recover()]
+        return [self.write(record) for record in self.account.recover()]
 
     def handle(self, now_ms: int, event: Event) -> list[Linked]:
         """The records of an event. Raises LedgerError for what the operator may not do: nothing is written.
@@ -159,10 +159,11 @@
         """
         now = max(now_ms, self.account.last_at)
         operators = isinstance(event, Close | Correct | Void)
-        written = [] if operators else [self._write(record) for record in self._time(now)]
-        return written + [self._write(record) for record in self._records(now, event)]
+        written = [] if operators else [self.write(record) for record in self._time(now)]
+        return written + [self.write(record) for record in self._records(now, event)]
 
-    def _write(self, record: Record) -> Linked:
+    def write(self, record: Record) -> Linked:
+        """Put a record behind the chain and take it in."""
         linked = link(self.chain, record)
         self.replay(record)
         return linked
--- a/foxlift/ledger/journal.py
+++ b/foxlift/ledger/journal.py
@@ -6,7 +6,17 @@
 
 from foxlift.ledger.account import Account
 from foxlift.ledger.book import Book, Event
-from foxlift.ledger.records import Linked, decode, encode, find_break
+from foxlift.ledger.export import Standing
+from foxlift.ledger.records import (
+    Acknowledged,
+    Batched,
+    Fenced,
+    Linked,
+    Record,
+    decode,
+    encode,
+    find_break,
+)
 from foxlift.ledger.tariff import Tariff
 from foxlift.store import FilePort, LogError, SegmentedLog, read_log
 
@@ -50,20 +60,30 @@
         """Takes the log in and closes what an earlier run left open. Raises OSError and LogError."""
         self.book = Book(tariff, grace_ms)
         self._on_failed = on_failed
+        self.standing = Standing()
+        self.last_billed = 0  # the last record that is not of an export itself
         self.log = SegmentedLog(files, NAME, segment_bytes)
         for number, linked in read_records(files):
             self.book.replay(linked.record)
+            self.standing.apply(linked.record)
+            if not isinstance(linked.record, Batched | Acknowledged | Fenced):
+                self.last_billed = number
             if self.book.chain != linked.chain:
                 raise LogError(f"ledger: record {number} does not follow from those before it")
         self.recovered = self._append(self.book.recover())
 
+    def write(self, record: Record, done: Callable[[], None]) -> None:
+        """Append a record of the exports; `done` once it lasts, never where it may not."""
+        linked = self.book.write(record)
+        self.log.append(encode(linked), lambda error: done() if error is None else self._on_failed(error))
+
     def handle(self, now_ms: int, event: Event) -> int:
         """Write down what an event means; gives back how many records. Raises LedgerError."""
         return self._append(self.book.handle(now_ms, event))
 
     def _append(self, records: list[Linked]) -> int:
         for linked in records:
-            self.log.append(encode(linked), self._appended)
+            self.last_billed = self.log.append(encode(linked), self._appended)
         return len(records)
 
     def _appended(self, error: OSError | None) -> None:
--- a/tests/test_reconcile.py
+++ b/tests/test_reconcile.py
@@ -182,7 +182,7 @@
         journal = Journal(other)
         for record in records_of(data):
             for kept in change(record):
-                journal._append([journal.book._write(kept)])
+                journal._append([journal.book.write(kept)])
         folder = tmp_path / "changed"
         folder.mkdir(exist_ok=True)
         for name, content in other.data.items():
