--- a/bench/ledger.py
+++ b/bench/ledger.py
@@ -15,7 +15,7 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-from foxlift.ledger import Journal, Started, read_account
+from foxlift.ledger import Ended, Journal, Started, read_account
 from foxlift.ledger.reconcile import Reconciler
 from foxlift.ledger.records import Charged, Record, encode, link
 from foxlift.store import DiskFiles, Intent, IntentBook, SegmentedLog
@@ -78,9 +78,10 @@
     files = DiskFiles(folder, loop)
     journal = Journal(files)
     for k in range(count):
-        journal.handle(
-            WHEN + k, Started(WHEN + k, f"d0.run-{k % 500}-0", f"t{k}", "north", "graded", 0, True)
-        )
+        name = f"d0.run-{k}-0"
+        journal.handle(WHEN + k, Started(WHEN + k, name, f"t{k}", "north", "graded", 0, True))
+        if k >= 500:
+            journal.handle(WHEN + k, Ended(WHEN + k, f"d0.run-{k - 500}-0"))
         if k % 1000 == 0:
             await asyncio.sleep(0)
     while journal.log.durable < journal.log.last:
@@ -92,7 +93,8 @@
     seconds = time.perf_counter() - start
     files.close()
     return {
-        "records": account.last_at and journal.log.last,
+        "records": journal.log.last,
+        "attempts": len(account.charged),
         "mb": size / 1e6,
         "s_per_gb": seconds / size * 1e9,
     }
@@ -126,7 +128,7 @@
 def main() -> None:
     merge = int(sys.argv[1]) if len(sys.argv) > 1 else 10_000_000
     recover = int(sys.argv[2]) if len(sys.argv) > 2 else 1_000_000
-    with tempfile.TemporaryDirectory(dir=".") as made:
+    with tempfile.TemporaryDirectory() as made:
         folder = Path(made)
         rows = []
         for k in range(3):
@@ -134,10 +136,8 @@
             single, took = asyncio.run(appends(folder / f"s{k}", 1000, False))
             rows.append((group, single, group / single, statistics.quantiles(took, n=100)[98]))
         middle = [statistics.median(column) for column in zip(*rows, strict=True)]
-        print(
-            json.dumps(dict(zip(("grouped", "single", "ratio", "single_p99_ms"), middle, strict=True))),
-            flush=True,
-        )
+        names = ("grouped", "single", "ratio", "single_p99_ms")
+        print(json.dumps(dict(zip(names, middle, strict=True))), flush=True)
         print(json.dumps({"paid_set_up_p99_ms": asyncio.run(intents(folder / "i", 2000))}), flush=True)
         print(json.dumps(merging(folder, merge)), flush=True)
         print(json.dumps(asyncio.run(recovery(folder / "r", recover))), flush=True)
