--- a/foxlift/cli/main.py
+++ b/foxlift/cli/main.py
@@ -188,7 +188,7 @@
 def rehearse(scenario: str, seed: int, folder: Path | None, as_json: bool, quiet: bool) -> None:
     """Run a scripted day on stand-ins and judge the six rules from the sockets' traffic.
 
-    SCENARIO is the name of a built-in day (bad-day, short-day) or a scenario file.
+    SCENARIO is the name of a built-in day (bad-day, billing-day, short-day) or a scenario file.
 
     \b
     Examples:
--- a/foxlift/config/settings.py
+++ b/foxlift/config/settings.py
@@ -113,6 +113,7 @@
     idle_time_ms: Ms = 60_000.0
     stop_time_ms: Ms = 10_000.0
     answer_margin_ms: Ms = 60.0
+    intent_ms: Ms = 300.0
     update_period_s: Annotated[float, Meta(gt=0, le=3600)] = 4.0
 
 
--- a/foxlift/director/daemon.py
+++ b/foxlift/director/daemon.py
@@ -485,7 +485,17 @@
         return pool
 
     def _keep_intent(self, keep: ev.KeepIntent) -> None:
+        """Write the intent; a disk that does not make it last within `intent-ms` counts as one that failed.
+
+        The set-up never left then. The late record is followed by the word that it never ran, in this order.
+        """
+        token, waiting = keep.token, True
+
         def done(error: OSError | None) -> None:
+            nonlocal waiting
+            if not waiting:
+                return
+            waiting = False
             if error is None:
                 self.feed(at.IntentDurable(keep.session, keep.attempt))
                 return
@@ -493,10 +503,17 @@
             self.log.error("the record of paid set-ups cannot be written", detail=str(error))
             self.feed(at.IntentFailed(keep.session, keep.attempt))
 
-        token = keep.token
+        def too_late() -> None:
+            nonlocal waiting
+            if waiting:
+                waiting = False
+                self.counters.add("intents too late")
+                self.log.error("the disk is too slow for paid set-ups", session=keep.session)
+                self.feed(at.IntentFailed(keep.session, keep.attempt))
+
         until = token.expires + self.config.tokens.leeway_s
-        intent = Intent(token.id, until, keep.box, keep.set_up, token.tenant, token.klass)
-        self.book.intend(intent, done)
+        self.book.intend(Intent(token.id, until, keep.box, keep.set_up, token.tenant, token.klass), done)
+        self.timeline.later(self.config.front.intent_ms, too_late)
 
     def _put(self, put: ev.PutSetUp) -> None:
         session, key = put.session, (put.session.number, put.attempt)
--- a/foxlift/rehearsal/billing.py
+++ b/foxlift/rehearsal/billing.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 
 from foxlift.ledger import Account, read_records
+from foxlift.ledger.export import read_lines
 from foxlift.ledger.reconcile import Reconciler
 from foxlift.ledger.records import Closed, Opened
 from foxlift.standins.checker import Checker
@@ -33,6 +34,7 @@
     unrecorded: int = 0  # free sessions whose director died before their record lasted: at no charge
     ms: int = 0
     ms_on_taps: int = 0
+    exported: int = 0
     differences: list[str] = field(default_factory=list)
 
 
@@ -102,6 +104,29 @@
     return billing
 
 
+def check_exports(billing: Billing, pairs: list[tuple[Path, Path]]) -> None:
+    """Every record that a director exported is its ledger's, there once, none left out before the last."""
+
+    async def read(state: Path) -> dict[int, str]:
+        files = DiskFiles(state, asyncio.get_running_loop())
+        chains = {number: linked.chain for number, linked in read_records(files)}
+        files.close()
+        return chains
+
+    for state, drop in pairs:
+        chains = asyncio.run(read(state))
+        paths = sorted(drop.glob("*.jsonl"))
+        rows = [row for path in paths for row in read_lines(path.read_bytes())]
+        numbers = [number for number, _ in rows]
+        billing.exported += len(rows)
+        if numbers != list(range(1, len(rows) + 1)):
+            billing.differences.append(f"{drop.name}: exported records are not 1 to {len(rows)}, each once")
+        for number, linked in rows:
+            if chains.get(number) != linked.chain:
+                billing.differences.append(f"{drop.name}: record {number} is not the ledger's")
+                break
+
+
 def _attempts(billing: Billing, use: TapUse, charged: dict[str, bool]) -> None:
     if billing.attempts != len(charged):
         billing.differences.append(f"{billing.attempts} attempts merged, {len(charged)} tokens charged")
--- a/foxlift/rehearsal/files.py
+++ b/foxlift/rehearsal/files.py
@@ -131,6 +131,7 @@
     )
     fleet = " ".join(_form(key, getattr(scenario, key)) for key in same)
     zones = " ".join(scenario.zones)
+    exports = f'(export-folder "export-d{number}") (export-every-ms 300)' if scenario.exports else ""
     return f"""; director {number} of the rehearsal {scenario.name}
 (director (name "d{number}") (number {number}) (directors {scenario.directors})
   (zone {zone_of(scenario, number)}) (state "state-d{number}") (seed {seed * 100 + number})
@@ -143,6 +144,7 @@
   (front (port 0) (url "{url}") (update-period-s 4) (stop-time-ms 2000))
   (tokens (keys "keys.json") (issuer "{ISSUER}") (audience "{AUDIENCE}"))
   (catalogue (folder "catalogue"))
+  (ledger {exports})
   (box-list (url "http://127.0.0.1:{list_port}/v3/discovery:endpoints") (poll-ms 5000) (retry-ms 200)))
 """
 
--- a/foxlift/rehearsal/report.py
+++ b/foxlift/rehearsal/report.py
@@ -81,7 +81,7 @@
         f"ledgers: {billing.attempts} attempts ({billing.attempts_estimated} estimated;"
         f" {billing.attempts_on_taps} confirmed on the sockets), {billing.sessions} sessions"
         f" ({billing.sessions_estimated} estimated, {billing.unrecorded} unrecorded),"
-        f" {billing.ms_on_taps} ms seen to their end on both sides"
+        f" {billing.ms_on_taps} ms seen to their end on both sides; {billing.exported} records exported"
     )
     for difference in billing.differences[:20]:
         console.print(f"ledger: {difference}", style="red", highlight=False)
--- a/foxlift/rehearsal/scenario.py
+++ b/foxlift/rehearsal/scenario.py
@@ -37,6 +37,7 @@
     do: Literal[
         "crowd",
         "kill",
+        "kill-random",
         "restart",
         "stall",
         "die",
@@ -88,7 +89,7 @@
     extra_span_ms: float = 0.0
     segment_s: float = 2.0
     scale: float = 0.0005
-    crowd_share: float = 1.0
+    exports: bool = False
 
     def __post_init__(self) -> None:
         if self.holders > self.boxes:
--- a/foxlift/standins/box.py
+++ b/foxlift/standins/box.py
@@ -204,6 +204,7 @@
             exchange.reply_problem(400, "malformed rung", str(error))
             return
         session.rung, session.rate_kb = order.rung, order.rate_kb
+        session.changed = self.loop.time()
         exchange.reply(204, self._load_header())
         self._tell(session.director, RungThere(set_up, order.rung, unix_ms()))
 
@@ -301,7 +302,10 @@
 
     def _end(self, session: BoxSession, how: str) -> None:
         del self.model.sessions[session.set_up]
-        self._tell(session.director, EndedThere(session.set_up, how, unix_ms()))
+        # it ended when it was last sent something, not when that was noticed
+        last = max(session.last_seen, session.changed)
+        idle_ms = int((self.loop.time() - last) * 1000)
+        self._tell(session.director, EndedThere(session.set_up, how, unix_ms() - idle_ms))
 
     def _one_each(self) -> dict[str, str]:
         return {session.director: session.set_up for session in self.model.sessions.values()}
--- a/foxlift/standins/model.py
+++ b/foxlift/standins/model.py
@@ -39,6 +39,7 @@
     rate_kb: float
     rung: int
     last_seen: float
+    changed: float = 0.0  # when its rung was last set
     streams: int = 0
     finished: bool = False
 
--- a/tests/test_director.py
+++ b/tests/test_director.py
@@ -186,6 +186,30 @@
     run(tmp_path, test, files=files)
 
 
+def test_a_disk_that_hangs_costs_paid_viewers_a_refusal_and_free_ones_nothing(tmp_path: Path) -> None:
+    files = MemoryFiles()
+
+    async def test(world: World) -> None:
+        files.hold = True
+        paid = world.token("a", "graded")
+        start = world.loop.time()
+        asked = asyncio.ensure_future(world.manifest(paid))
+        assert (await world.manifest(world.token("b", "briefing"))).status == 200
+        assert (await asked).status == 503  # nothing left: the same token may come again
+        assert world.loop.time() - start < 1.4
+        assert world.set_ups("a") == 0
+        assert world.director.counters.total("intents too late") > 0
+        files.hold = False
+        files.release()
+        assert (await world.manifest(paid)).status == 200
+        assert world.set_ups("a") == 1
+        again = world.new_director(files=MemoryFiles(files.data))
+        assert again.book.known["a"].verdict is Verdict.STARTED
+
+    edit = "(front (port 0) => (front (port 0) (intent-ms 150)"
+    run(tmp_path, test, files=files, edit=edit)
+
+
 def test_a_drain_heard_between_choice_and_send_is_kept(tmp_path: Path) -> None:
     files = MemoryFiles()
 
