--- a/foxlift/cli/ledger.py
+++ b/foxlift/cli/ledger.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import csv
 import json
 import sys
 import tempfile
@@ -12,11 +13,14 @@
 from typing import Any
 
 import click
+import msgspec
 from rich.console import Console
 from rich.table import Table
 
 from foxlift.config import ConfigError, load_director
 from foxlift.config.settings import DirectorConfig
+from foxlift.director.exports import ExportRunner, FileDrop
+from foxlift.director.timeline import Timeline
 from foxlift.ledger import (
     Close,
     Correct,
@@ -248,6 +252,88 @@
     _write(settings, Close(period))
 
 
+COLUMNS = ("number", "kind", "at", "when", "session", "token", "tenant", "klass", "rung", "paid", "estimated")
+
+
+@ledger.command()
+@_SETTINGS
+@click.option("--to", "folder", type=click.Path(path_type=Path), help="Export batches into this folder.")
+@click.option("--csv", "table", type=click.Path(path_type=Path), help="Write every record as a row instead.")
+def export(settings: Path, folder: Path | None, table: Path | None) -> None:
+    """Export what has not been exported, as batches; or print the whole ledger as CSV.
+
+    Batches go by the ledger's own account of what was accepted: the director must not run meanwhile. CSV is a
+    copy for reading and changes nothing.
+
+    \b
+    Examples:
+      foxlift ledger export director.sexp --to /srv/billing
+      foxlift ledger export director.sexp --csv ledger.csv
+    """
+    if (folder is None) == (table is None):
+        raise click.UsageError("either --to or --csv")
+    try:
+        config = load_director(settings)
+    except ConfigError as error:
+        _end(BAD_FILES, str(error))
+        return
+    if table is not None:
+        count = _with_files(Path(config.state), lambda files: _write_csv(files, table))
+        click.echo(f"{count} records")
+        return
+    assert folder is not None
+    _write_batches(config, folder)
+
+
+def _write_csv(files: DiskFiles, path: Path) -> int:
+    count = 0
+    with open(path, "w", newline="", encoding="utf-8") as file:
+        writer = csv.writer(file)
+        writer.writerow(COLUMNS)
+        for number, linked in read_records(files):
+            row = msgspec.to_builtins(linked.record)
+            writer.writerow([number, row["type"], *(row.get(name, "") for name in COLUMNS[2:])])
+            count += 1
+    return count
+
+
+def _write_batches(config: DirectorConfig, folder: Path) -> None:
+    async def main() -> int:
+        loop = asyncio.get_running_loop()
+        files = DiskFiles(Path(config.state), loop)
+        failed: list[OSError] = []
+        try:
+            files.lock()
+            journal = Journal(files, on_failed=failed.append)
+            first = journal.standing.last
+            timeline = Timeline(loop, time.time(), 1000.0, lambda late_ms: None)
+            runner = ExportRunner(journal, files, FileDrop(loop, folder, config.name), timeline, 20.0)
+            runner.begin()
+            while not runner.drained and not runner.exporter.stopped and not failed:
+                await asyncio.sleep(0.01)
+            done = journal.standing.last - first
+            drained = runner.drained
+            timeline.close()
+            runner.close()
+            journal.close()
+        finally:
+            files.close()
+        if failed:
+            raise failed[0]
+        if not drained:
+            raise LedgerError("stopped: a later exporter has begun, or the folder holds other batches")
+        return done
+
+    try:
+        click.echo(f"{asyncio.run(main())} records exported")
+    except LogError as problem:
+        _end(BAD_FILES, str(problem))
+    except LedgerError as problem:
+        _end(NOT_ALLOWED, str(problem))
+    except OSError as problem:
+        _end(NO_SYSTEM, str(problem))
+
+
 @ledger.command()
 @click.argument("states", nargs=-1, required=True, type=click.Path(path_type=Path, exists=True))
 @_JSON
--- a/foxlift/director/exports.py
+++ b/foxlift/director/exports.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
@@ -18,7 +17,7 @@
 from foxlift.ledger import Journal, read_records
 from foxlift.ledger import export as ex
 from foxlift.ledger.records import Linked
-from foxlift.store import FilePort
+from foxlift.store import DiskFiles, FilePort
 
 Done = Callable[[ex.Event], None]
 
@@ -38,6 +37,7 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, folder: Path, ledger: str) -> None:
         self._loop, self._folder, self._ledger = loop, folder, ledger
+        self._files: DiskFiles | None = None
         self._executor = ThreadPoolExecutor(max_workers=1, thread_name_prefix="foxlift-export")
 
     def deliver(self, batch: ex.Deliver, data: bytes, done: Done) -> None:
@@ -45,34 +45,22 @@
         future.add_done_callback(lambda f: done(f.result()))
 
     def _write(self, batch: ex.Deliver, data: bytes) -> ex.Event:
-        path = self._folder / f"{self._ledger}-{batch.batch:09d}.jsonl"
-        fence = self._folder / f"{self._ledger}.exporter"
+        name, fence = f"{self._ledger}-{batch.batch:09d}.jsonl", f"{self._ledger}.exporter"
         try:
-            self._folder.mkdir(parents=True, exist_ok=True)
-            seen = int(fence.read_text()) if fence.exists() else 0
+            files = self._files = self._files or DiskFiles(self._folder, self._loop)
+            seen = int(files.read(fence) or b"0")
             if seen > batch.exporter:
                 return ex.FencedOff()
             if seen < batch.exporter:
-                self._replace(fence, str(batch.exporter).encode())
-            if not path.exists():
-                self._replace(path, data)
-            return ex.Accepted(batch.batch, ex.content_of(path.read_bytes()))
+                files.replace(fence, str(batch.exporter).encode())
+            kept = files.read(name)
+            if kept is None:
+                files.replace(name, data)
+                kept = data
+            return ex.Accepted(batch.batch, ex.content_of(kept))
         except (OSError, ValueError):
             return ex.Lost()
 
-    def _replace(self, path: Path, data: bytes) -> None:
-        draft = path.with_name(path.name + ".new")
-        with open(draft, "wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
-        os.replace(draft, path)
-        descriptor = os.open(self._folder, os.O_RDONLY)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
-
     def close(self) -> None:
         self._executor.shutdown(wait=False)
 
@@ -156,6 +144,11 @@
             content = ex.content_of(self._lines(*span))
             self._carry_out(self.exporter.handle(self._now(), ex.Due(last), content))
 
+    @property
+    def drained(self) -> bool:
+        """Whether everything that lasts has been accepted."""
+        return self._journal.standing.last >= self._journal.last_billed
+
     def _lines(self, first: int, last: int) -> bytes:
         found: list[tuple[int, Linked]] = []
         for number, linked in read_records(self._files, first - 1):
--- a/tests/test_reconcile.py
+++ b/tests/test_reconcile.py
@@ -243,6 +243,18 @@
     assert "north" in call("statement", path, "--tenant", "north", "--period", "2026-01").output
     merged = call("reconcile", state, "--json")
     assert json.loads(merged.output)["totals"][0]["attempts"] == 1
+    drop = tmp_path / "drop"
+    assert call("export", path).exit_code == 2
+    assert call("export", path, "--csv", tmp_path / "all.csv").exit_code == 0
+    rows = (tmp_path / "all.csv").read_text().splitlines()
+    assert rows[0].startswith("number,kind,at,when,session,token")
+    assert rows[1].split(",")[:2] == ["1", "open"]
+    first = call("export", path, "--to", drop)
+    assert first.exit_code == 0, first.output
+    kept = {file.name: file.read_bytes() for file in drop.glob("*.jsonl")}
+    assert sum(data.count(b"\n") for data in kept.values()) >= 5
+    assert call("export", path, "--to", drop).output == "0 records exported\n"
+    assert {file.name: file.read_bytes() for file in drop.glob("*.jsonl")} == kept
     segment = next(state.glob("ledger-*.seg"))
     segment.write_bytes(segment.read_bytes()[:40] + b"\0" + segment.read_bytes()[41:])
     assert call("verify", path).exit_code == 3
