--- a/foxlift/director/daemon.py
+++ b/foxlift/director/daemon.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import UTC, datetime
+from functools import lru_cache
 from pathlib import Path
 from urllib.parse import parse_qs, quote, urlsplit
 
@@ -51,6 +52,7 @@
 from foxlift.tokens import SessionToken, TokenError, Trouble, Verifier, load_keys
 
 LIST_CACHE = "boxes.json"
+FLUSH_S = 2.0  # how long a stop waits for the disk
 READY_EACH = 4  # forms of the same reload kept for one session
 KNOWN_TARGETS = 10_000  # verified targets kept: what comes again soon costs no second look at its signature
 
@@ -193,6 +195,10 @@
         while self.core.sessions and self.loop.time() < until:
             await asyncio.sleep(min(0.05, grace_ms / 1000))
         await self.server.stop(1000.0)
+        until = self.loop.time() + FLUSH_S
+        # what was written down in the last moments must last: the disk's thread ends with close
+        while not (self.book.flushed and self.journal.log.flushed) and self.loop.time() < until:
+            await asyncio.sleep(0.005)
         self.close()
 
     def close(self) -> None:
@@ -427,11 +433,10 @@
         location = f"{self.url}/dash/{quote(session.title.name)}/manifest.mpd"
         if held.token_in_query:
             location += f"?token={quote(held.query_token)}"  # a token from a header never enters a URL
-        started = datetime.fromtimestamp(session.started / 1000, UTC)
         view = SessionView(
             base_url=f"http://{host}:{port}{path}/{quote(session.title.name)}/",
             location=location,
-            start=started.strftime("%Y-%m-%dT%H:%M:%SZ"),
+            start=_date_time(int(session.started // 1000)),
             update_period_s=self.config.front.update_period_s,
             rung=session.rung,
             floor=self.core.settings.classes[session.klass].floor,
@@ -642,6 +647,12 @@
             self.log.error("the box list cannot be kept", detail=str(error))
 
 
+@lru_cache(maxsize=100)
+def _date_time(unix_s: int) -> str:
+    """An xs:dateTime of whole seconds."""
+    return datetime.fromtimestamp(unix_s, UTC).strftime("%Y-%m-%dT%H:%M:%SZ")
+
+
 class _Problem(Exception):
     def __init__(self, status: int, title: str, detail: str = "", extra: Headers = ()) -> None:
         super().__init__(title)
--- a/foxlift/ledger/book.py
+++ b/foxlift/ledger/book.py
@@ -142,11 +142,9 @@
         self._alive_at = 0
         self._seen: str = ""  # the period of the latest record
 
-    def replay(self, record: Record) -> None:
-        """Take in a record of the log, at the start."""
-        self.chain = link(self.chain, record).chain
-        self.account.apply(record)
-        self._seen = max(self._seen, period_of(record.at))
+    def replay(self, record: Record) -> str:
+        """Take in a record of the log, at the start; gives back the chain that it must have."""
+        return self.write(record).chain
 
     def recover(self) -> list[Linked]:
         """After the last record of an earlier run: close what it left open, as estimated."""
@@ -165,7 +163,9 @@
     def write(self, record: Record) -> Linked:
         """Put a record behind the chain and take it in."""
         linked = link(self.chain, record)
-        self.replay(record)
+        self.chain = linked.chain
+        self.account.apply(record)
+        self._seen = max(self._seen, period_of(record.at))
         return linked
 
     def _records(self, now: int, event: Event) -> list[Record]:
--- a/foxlift/ledger/journal.py
+++ b/foxlift/ledger/journal.py
@@ -59,16 +59,16 @@
     ) -> None:
         """Takes the log in and closes what an earlier run left open. Raises OSError and LogError."""
         self.book = Book(tariff, grace_ms)
-        self._on_failed = on_failed
+        self._on_failed, self._told = on_failed, False
         self.standing = Standing()
         self.last_billed = 0  # the last record that is not of an export itself
         self.log = SegmentedLog(files, NAME, segment_bytes)
         for number, linked in read_records(files):
-            self.book.replay(linked.record)
+            chain = self.book.replay(linked.record)
             self.standing.apply(linked.record)
             if not isinstance(linked.record, Batched | Acknowledged | Fenced):
                 self.last_billed = number
-            if self.book.chain != linked.chain:
+            if chain != linked.chain:
                 raise LogError(f"ledger: record {number} does not follow from those before it")
         self.recovered = self._append(self.book.recover())
 
@@ -87,7 +87,8 @@
         return len(records)
 
     def _appended(self, error: OSError | None) -> None:
-        if error is not None:
+        if error is not None and not self._told:
+            self._told = True  # once: every later record of this process fails with it
             self._on_failed(error)
 
     def close(self) -> None:
--- a/foxlift/ledger/tariff.py
+++ b/foxlift/ledger/tariff.py
@@ -13,6 +13,7 @@
 
 from bisect import bisect_right
 from datetime import UTC, datetime
+from functools import lru_cache
 from pathlib import Path
 from typing import Annotated
 
@@ -95,16 +96,23 @@
     return read_tariff(text, str(path))
 
 
+@lru_cache(maxsize=10_000)
+def _month_of_day(day: int) -> str:
+    return datetime.fromtimestamp(day * 86_400, UTC).strftime("%Y-%m")
+
+
 def period_of(at_ms: int) -> str:
     """The billing period of a time: its month, UTC."""
-    return datetime.fromtimestamp(at_ms / 1000, UTC).strftime("%Y-%m")
+    return _month_of_day(at_ms // 86_400_000)
 
 
+@lru_cache(maxsize=1000)
 def period_start(period: str) -> int:
     """First millisecond of a period. Raises ValueError."""
     return int(datetime.strptime(period + "-01", "%Y-%m-%d").replace(tzinfo=UTC).timestamp() * 1000)
 
 
+@lru_cache(maxsize=1000)
 def next_period(period: str) -> str:
     """The period after."""
     year, month = int(period[:4]), int(period[5:7])
--- a/foxlift/store/intents.py
+++ b/foxlift/store/intents.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import errno
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from enum import Enum
@@ -79,7 +80,7 @@
         self._sequence = 0
         self._gathering: list[_Record] = []
         self._waiting: list[Callable[[OSError | None], None]] = []
-        self._writing = False
+        self._writing = self._closed = False
         self._rewrite()
         self._file: SyncFile = files.open_append(NAME)
 
@@ -138,6 +139,12 @@
     def _write(self) -> None:
         if self._writing or not self._gathering:
             return
+        if self._closed:
+            error = OSError(errno.EBADF, "the record is closed")
+            waiting, self._waiting, self._gathering = self._waiting, [], []
+            for done in waiting:
+                done(error)
+            return
         records, self._gathering = self._gathering, []
         waiting, self._waiting = self._waiting, []
         self._writing = True
@@ -152,6 +159,12 @@
             done(error)
         self._write()
 
+    @property
+    def flushed(self) -> bool:
+        """Whether nothing waits to be written."""
+        return not self._writing and not self._gathering
+
     def close(self) -> None:
-        """Let go of the file."""
+        """Let go of the file; what waits to be written fails: flush before."""
+        self._closed = True
         self._file.close()
--- a/foxlift/store/segments.py
+++ b/foxlift/store/segments.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import errno
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
@@ -78,7 +79,7 @@
         self.failed: OSError | None = None
         self._gathering: list[bytes] = []
         self._waiting: list[Acknowledge] = []
-        self._writing = False
+        self._writing = self._closed = False
         segments = _segments(files, name)
         self.last = self._size = 0
         self._file: SyncFile | None = None
@@ -111,6 +112,8 @@
         data = b"".join(self._gathering)
         waiting, upto, count = self._waiting, self.last, len(self._gathering)
         self._gathering, self._waiting = [], []
+        if self._closed and self.failed is None:
+            self.failed = OSError(errno.EBADF, "the log is closed")
         if self.failed is not None:
             for done in waiting:
                 done(self.failed)
@@ -135,7 +138,13 @@
             done(error)
         self._write()
 
+    @property
+    def flushed(self) -> bool:
+        """Whether all that was appended lasts, or cannot any more."""
+        return self.durable == self.last or self.failed is not None
+
     def close(self) -> None:
-        """Let go of the file; what is under way still ends."""
+        """Let go of the file; what is under way still ends, what waits for it fails: flush before."""
+        self._closed = True
         if self._file is not None:
             self._file.close()
