--- a/foxlift/cli/main.py
+++ b/foxlift/cli/main.py
@@ -27,6 +27,7 @@
 from foxlift.cli.ledger import ledger
 from foxlift.config import ConfigError, load_director, module_settings
 from foxlift.director import Daemon
+from foxlift.ledger import load_tariff
 from foxlift.rehearsal import built_in, load_scenario, print_report, run_day
 from foxlift.rehearsal.processes import ChildError
 from foxlift.rehearsal.report import write_json
@@ -116,7 +117,7 @@
 @main.command("check-config")
 @click.argument("settings", type=click.Path(path_type=Path))
 def check_config(settings: Path) -> None:
-    """Check a director's settings, its keys and its catalogue; starts nothing.
+    """Check a director's settings, keys, catalogue and tariff; starts nothing.
 
     \b
     Example:
@@ -127,6 +128,8 @@
         module_settings(config)
         load_keys(Path(config.tokens.keys))
         catalogue = load_catalogue(Path(config.catalogue.folder), config.fleet.cells)
+        if config.ledger.tariff:
+            load_tariff(Path(config.ledger.tariff))
     except (ConfigError, ValueError) as error:
         _end(BAD_FILES, str(error))
         return
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -47,7 +47,10 @@
     result = call("check-config", path)
     assert result.exit_code == 0
     assert "director d0, 2 classes, 1 titles (catalogue version 4)" in result.output
-    path.write_text(path.read_text().replace("(number 0)", "(number zero)"))
+    good = path.read_text()
+    path.write_text(good.rstrip()[:-1] + ' (ledger (tariff "none.sexp")))')
+    assert "none.sexp:1:1: cannot be read" in call("check-config", path).output
+    path.write_text(good.replace("(number 0)", "(number zero)"))
     broken = call("check-config", path)
     assert broken.exit_code == 3
     assert "director.sexp:2:" in broken.output
