--- a/foxlift/decide/attempts.py
+++ b/foxlift/decide/attempts.py
@@ -323,7 +323,9 @@
             case IntentDurable():
                 return self._durable(now, found)
             case IntentFailed():
-                return self._end(found, fl.Outcome.NEVER_SENT)
+                # only what still waits for its record has provably not left
+                waits = found.state is _State.INTENT
+                return self._end(found, fl.Outcome.NEVER_SENT) if waits else []
             case Answered():
                 return self._answered(found, event)
             case Lost():
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -218,6 +218,15 @@
         assert made.handle(4.0, at.ReleaseFailed("d-1-0")) == []
 
 
+def test_a_word_on_the_record_after_the_set_up_left_changes_nothing() -> None:
+    made = at.Attempts("d")
+    made.handle(0.0, SEND)
+    assert made.handle(0.0, at.IntentFailed(1, 0)) == []
+    made.handle(0.0, DONE)
+    assert made.handle(0.0, at.IntentFailed(1, 0)) == []
+    assert made.plays_at(1) == (7, 0)
+
+
 def test_a_drain_stops_only_what_has_not_left() -> None:
     made = at.Attempts("d")
     made.handle(0.0, SEND)
