Ledgers' certain milliseconds held against the sockets whole, rungs of estimated sessions too

Cause: only sessions seen to their end were compared; the rungs that an estimated one left before are charged as certain. Found: the stand-in took a session's end from two clocks, and it could lie before a rung change told earlier.

--- a/foxlift/rehearsal/billing.py
+++ b/foxlift/rehearsal/billing.py
@@ -17,7 +17,7 @@
 from foxlift.ledger import Account, read_records
 from foxlift.ledger.export import read_lines
 from foxlift.ledger.reconcile import Reconciler
-from foxlift.ledger.records import Closed, Opened
+from foxlift.ledger.records import Closed, Opened, Turned
 from foxlift.standins.checker import Checker
 from foxlift.store import DiskFiles
 
@@ -44,6 +44,7 @@
 
     began: dict[str, int] = field(default_factory=dict)
     ended: dict[str, int] = field(default_factory=dict)
+    turned: dict[str, set[int]] = field(default_factory=dict)  # times at which a box told a rung
     paid: dict[str, str] = field(default_factory=dict)  # set-up to token
     maybe: set[str] = field(default_factory=set)  # tokens of paid set-ups that left, whatever came back
 
@@ -67,6 +68,9 @@
             for event in bytes(connection.down.data).split(b"event: ended\ndata: ")[1:]:
                 found = json.loads(event.split(b"\n", 1)[0])
                 use.ended[found["session"]] = found["at"]
+            for event in bytes(connection.down.data).split(b"event: rung\ndata: ")[1:]:
+                found = json.loads(event.split(b"\n", 1)[0])
+                use.turned.setdefault(found["session"], set()).add(found["at"])
     return use
 
 
@@ -76,6 +80,7 @@
     billing = Billing(attempts_on_taps=len(set(use.paid.values())))
     opened: dict[str, Opened] = {}
     closed: dict[str, Closed] = {}
+    turned: dict[str, int] = {}
     charged: dict[str, bool] = {}
 
     async def read() -> None:
@@ -93,6 +98,8 @@
                         opened[record.session] = record
                     elif isinstance(record, Closed):
                         closed[record.session] = record
+                    elif isinstance(record, Turned):
+                        turned[record.session] = max(record.when, turned.get(record.session, 0))
             merged = merger.finish()
             billing.attempts = sum(total.attempts for total in merged.totals.values())
             billing.attempts_estimated = sum(total.attempts_estimated for total in merged.totals.values())
@@ -100,7 +107,7 @@
 
     asyncio.run(read())
     _attempts(billing, use, charged)
-    _play(billing, use, opened, closed)
+    _play(billing, use, opened, closed, turned)
     return billing
 
 
@@ -137,7 +144,13 @@
         billing.differences.append(f"{token}: charged as certain, and no box confirmed it")
 
 
-def _play(billing: Billing, use: TapUse, opened: dict[str, Opened], closed: dict[str, Closed]) -> None:
+def _play(
+    billing: Billing,
+    use: TapUse,
+    opened: dict[str, Opened],
+    closed: dict[str, Closed],
+    turned: dict[str, int],
+) -> None:
     billing.sessions = len(opened)
     billing.unrecorded = sum(1 for set_up in use.began if set_up not in opened and set_up not in use.paid)
     certain_ms = 0
@@ -145,7 +158,11 @@
         end = closed.get(set_up)
         if end is None or end.estimated:
             billing.sessions_estimated += 1
-            # rungs that were left before were seen: their play is certain, and on both sides of no use here
+            # the rungs that it left before were seen: up to the last change its play is certain
+            if set_up in turned:
+                if turned[set_up] not in use.turned.get(set_up, ()):
+                    billing.differences.append(f"{set_up}: a rung in the ledger that no box told")
+                certain_ms += max(turned[set_up] - record.when, 0)
             continue
         if set_up not in use.began or set_up not in use.ended:
             billing.differences.append(f"{set_up}: in a ledger as seen, and not on the sockets")
@@ -156,5 +173,5 @@
         certain_ms += in_ledger
         if on_taps != in_ledger:
             billing.differences.append(f"{set_up}: {in_ledger} ms in the ledger, {on_taps} on the sockets")
-    if certain_ms != billing.ms_on_taps:
-        billing.differences.append(f"{certain_ms} ms in ledgers, {billing.ms_on_taps} on the sockets")
+    if certain_ms != billing.ms:
+        billing.differences.append(f"{billing.ms} ms charged as certain, {certain_ms} seen on the sockets")
--- a/foxlift/standins/box.py
+++ b/foxlift/standins/box.py
@@ -136,7 +136,7 @@
             exchange.reply_problem(400, "malformed set-up", str(error))
             return
         if set_up in model.sessions:
-            self._done(exchange, 200)  # idempotent: it runs already
+            self._done(exchange, 200, model.sessions[set_up])  # idempotent: it runs already
             return
         if model.gone.get(set_up, 0.0) > now:
             exchange.reply_problem(410, "released before it came")
@@ -176,10 +176,13 @@
         if self.answer_slowly:
             self._drip(exchange)
         else:
-            self._done(exchange, 201)
+            self._done(exchange, 201, model.sessions[set_up])
 
-    def _done(self, exchange: Exchange, status: int) -> None:
-        body = json.dumps({"boot": self.model.boot, "counter": self.model.counter, "at": unix_ms()}).encode()
+    def _done(self, exchange: Exchange, status: int, session: BoxSession) -> None:
+        session.told_ms = session.told_ms or unix_ms()
+        body = json.dumps(
+            {"boot": self.model.boot, "counter": self.model.counter, "at": session.told_ms}
+        ).encode()
         exchange.reply(status, (("content-type", "application/json"), *self._load_header()), body)
 
     def _drip(self, exchange: Exchange) -> None:
@@ -204,9 +207,9 @@
             exchange.reply_problem(400, "malformed rung", str(error))
             return
         session.rung, session.rate_kb = order.rung, order.rate_kb
-        session.changed = self.loop.time()
+        session.told_ms = unix_ms()
         exchange.reply(204, self._load_header())
-        self._tell(session.director, RungThere(set_up, order.rung, unix_ms()))
+        self._tell(session.director, RungThere(set_up, order.rung, session.told_ms))
 
     def _delete(self, exchange: Exchange, set_up: str) -> None:
         # kept for a while: a set-up that was sent before may come after
@@ -303,9 +306,9 @@
     def _end(self, session: BoxSession, how: str) -> None:
         del self.model.sessions[session.set_up]
         # it ended when it was last sent something, not when that was noticed
-        last = max(session.last_seen, session.changed)
-        idle_ms = int((self.loop.time() - last) * 1000)
-        self._tell(session.director, EndedThere(session.set_up, how, unix_ms() - idle_ms))
+        idle_ms = int((self.loop.time() - session.last_seen) * 1000)
+        ended_ms = max(unix_ms() - idle_ms, session.told_ms)  # two clocks: never before what was told
+        self._tell(session.director, EndedThere(session.set_up, how, ended_ms))
 
     def _one_each(self) -> dict[str, str]:
         return {session.director: session.set_up for session in self.model.sessions.values()}
--- a/foxlift/standins/model.py
+++ b/foxlift/standins/model.py
@@ -39,7 +39,7 @@
     rate_kb: float
     rung: int
     last_seen: float
-    changed: float = 0.0  # when its rung was last set
+    told_ms: int = 0  # the latest time that was told of it, Unix ms
     streams: int = 0
     finished: bool = False
 
