--- a/foxlift/decide/claims.py
+++ b/foxlift/decide/claims.py
@@ -211,11 +211,6 @@
         """Whether a request with this token would open a session."""
         return token not in self._by_token
 
-    def token_of(self, session: int) -> str | None:
-        """The token that a session was opened with, while the session is known."""
-        claim = self._by_session.get(session)
-        return None if claim is None else claim.token
-
     # ---- Requests -----------------------------------------------------------------------------------------
     def _requested(self, event: Requested) -> list[Action]:
         claim = self._by_token.get(event.token)
--- a/foxlift/director/core.py
+++ b/foxlift/director/core.py
@@ -64,7 +64,6 @@
         self.links: dict[int, ln.Link] = {}
         self.boxes: dict[int, BoxEntry] = {}
         self.sessions: dict[int, ev.Session] = {}
-        self.stopping = False
         self._secret, self._trace = secret, trace
         self._classes = {klass.name: k for k, klass in enumerate(self.settings.classes)}
         self._tenants = {tenant.name: k for k, tenant in enumerate(self.settings.tenants)}
--- a/foxlift/director/daemon.py
+++ b/foxlift/director/daemon.py
@@ -189,7 +189,7 @@
     async def stop(self, grace_ms: float | None = None) -> None:
         """Take no new session; what is asked for gets its answer; playing ones may run for the grace."""
         grace_ms = self.config.front.stop_time_ms if grace_ms is None else grace_ms
-        self.stopping = self.core.stopping = True
+        self.stopping = True
         self.log.info("stopping", playing=self.core.attempts.live, waiting=self.core.waiting)
         until = self.loop.time() + grace_ms / 1000
         while self.core.sessions and self.loop.time() < until:
--- a/foxlift/http/messages.py
+++ b/foxlift/http/messages.py
@@ -70,8 +70,3 @@
     if body or method in ("PUT", "POST"):
         lines.append(f"content-length: {len(body)}")
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1", "replace") + body
-
-
-def safe_header(value: str) -> bool:
-    """Whether a value can stand in a header: no control characters (RFC 9110 section 5.5)."""
-    return value.isprintable() and value.isascii()
--- a/foxlift/ledger/export.py
+++ b/foxlift/ledger/export.py
@@ -123,14 +123,14 @@
     return b"".join(row + b"\n" for row in rows)
 
 
-def read_lines(data: bytes) -> list[tuple[int, Linked]]:
-    """The other way. Raises msgspec.MsgspecError for a line that is no record."""
+class _Row(msgspec.Struct):
+    n: int
+    chain: str
+    record: Record
 
-    class _Row(msgspec.Struct):
-        n: int
-        chain: str
-        record: Record
 
+def read_lines(data: bytes) -> list[tuple[int, Linked]]:
+    """The other way. Raises msgspec.MsgspecError for a line that is no record."""
     found = []
     for line in data.splitlines():
         row = msgspec.json.decode(line, type=_Row)
--- a/foxlift/ledger/journal.py
+++ b/foxlift/ledger/journal.py
@@ -70,7 +70,7 @@
                 self.last_billed = number
             if chain != linked.chain:
                 raise LogError(f"ledger: record {number} does not follow from those before it")
-        self.recovered = self._append(self.book.recover())
+        self._append(self.book.recover())
 
     def write(self, record: Record, done: Callable[[], None]) -> None:
         """Append a record of the exports; `done` once it lasts, never where it may not."""
