--- a/foxlift/boxes/resource.py
+++ b/foxlift/boxes/resource.py
@@ -15,8 +15,8 @@
 class SetUpOrder(msgspec.Struct, frozen=True, rename="kebab"):
     """Body of the set-up. `claim` is the id of the viewer's token, never the token.
 
-    `max_kbps` and `max_side_kbps` cap what the player should choose, of video and of the rest: they go to it
-    as CMSD `mb` (CTA-5006). 0: no cap is told.
+    `max_kbps` caps what the player should choose, video and sound together: it goes to it as CMSD `mb`
+    (CTA-5006) on every segment. 0: no cap is told.
     """
 
     director: str
@@ -30,7 +30,6 @@
     path_token: Id
     within_ms: float
     max_kbps: Annotated[int, Meta(ge=0)] = 0
-    max_side_kbps: Annotated[int, Meta(ge=0)] = 0
 
 
 class SetUpDone(msgspec.Struct, frozen=True):
@@ -45,12 +44,11 @@
 
 
 class RungOrder(msgspec.Struct, frozen=True, rename="kebab"):
-    """Body of the rung change; caps as in the set-up."""
+    """Body of the rung change; the cap as in the set-up."""
 
     rung: Annotated[int, Meta(ge=0, le=31)]
     rate_kb: Annotated[float, Meta(gt=0, le=1e9)]
     max_kbps: Annotated[int, Meta(ge=0)] = 0
-    max_side_kbps: Annotated[int, Meta(ge=0)] = 0
 
 
 def read_set_up(body: bytes) -> SetUpDone | None:
--- a/foxlift/cli/main.py
+++ b/foxlift/cli/main.py
@@ -1,4 +1,4 @@
-"""`foxlift`: serve, rehearse, token, check-config, ledger, standin.
+"""`foxlift`: serve, rehearse, try, token, check-config, ledger, standin.
 
 Exit codes: 0 done (for `rehearse`: and every rule kept), 1 a rule was broken or
 a ledger differs from the sockets, 2 wrong usage, 3 settings or
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import secrets
 import signal
@@ -31,6 +32,7 @@
 from foxlift.rehearsal import built_in, load_scenario, print_report, run_day
 from foxlift.rehearsal.processes import ChildError
 from foxlift.rehearsal.report import write_json
+from foxlift.rehearsal.trial import Trial, TrialPlan
 from foxlift.standins.fleet import Fleet, FleetPlan
 from foxlift.store import LogError
 from foxlift.telemetry import configure_logs
@@ -237,6 +239,81 @@
         sys.exit(CHILD_FAILED)
 
 
+@main.command("try")
+@click.option(
+    "--media",
+    type=click.Path(path_type=Path, exists=True, file_okay=False),
+    help="Folder with CMAF segments and one .mpd; the sample title where it is not given.",
+)
+@click.option("--boxes", type=click.IntRange(1, 50), default=3, show_default=True, help="Stand-in boxes.")
+@click.option("--paid", is_flag=True, help="The session is paid: set up once, and taken up after a pause.")
+@click.option("--port", type=int, default=0, help="The director's port; a free one where it is not given.")
+@click.option("--origin", "origins", multiple=True, help="Origins of pages to let in; any by default.")
+@click.option("--pause", type=float, default=30.0, show_default=True, help="Seconds until a place is let go.")
+@click.option("--seconds", type=float, help="End by itself after so long.")
+@click.option("--json", "as_json", is_flag=True, help="Print URLs as one line of JSON.")
+def try_command(
+    media: Path | None,
+    boxes: int,
+    paid: bool,
+    port: int,
+    origins: tuple[str, ...],
+    pause: float,
+    seconds: float | None,
+    as_json: bool,
+) -> None:
+    """Start a director and boxes with a title of real media, and print a manifest URL for any DASH player.
+
+    Then tells what is decided as it happens: rung, box, and the player's buffer where it sends CMCD. Ctrl-C
+    ends all. The sample title needs the extra: pip install 'foxlift[media]'.
+
+    \b
+    Examples:
+      foxlift try
+      foxlift try --media /srv/titles/lesson --paid
+    """
+    configure_logs("console", "error")
+    with tempfile.TemporaryDirectory(prefix="foxlift-try-") as made:
+        folder = Path(made)
+        if media is None:
+            try:
+                from foxlift.standins.sample import make_sample
+            except ImportError:
+                raise click.UsageError("no --media, and the sample needs foxlift[media]") from None
+            click.echo("making the sample title ...", err=True)
+            media = folder / "media"
+            make_sample(media)
+        manifests = sorted(media.glob("*.mpd"))
+        if len(manifests) != 1:
+            raise click.UsageError(f"{media}: holds {len(manifests)} .mpd files, one is needed")
+        plan = TrialPlan(media, manifests[0], boxes, paid, port, 0, origins or ("*",), pause)
+
+        async def work() -> None:
+            trial = Trial(plan, folder, lambda text: click.echo(text, err=True))
+            url = await trial.start()
+            if as_json:
+                click.echo(json.dumps({"url": url, "control": trial.control_url}))
+            else:
+                click.echo(f"manifest: {url}")
+                weaken = json.dumps({"do": "weaken", "box": "b0", "value": 0.2})
+                click.echo(f"trouble:  curl -d '{weaken}' {trial.control_url}")
+            sys.stdout.flush()
+            stop = asyncio.Event()
+            for name in (signal.SIGTERM, signal.SIGINT):
+                asyncio.get_running_loop().add_signal_handler(name, stop.set)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(seconds):
+                    await stop.wait()
+            await trial.stop()
+
+        try:
+            _run(work())
+        except OSError as error:
+            _end(NO_SYSTEM, f"cannot run: {error}")
+        except (ConfigError, LogError, ValueError) as error:
+            _end(BAD_FILES, str(error))
+
+
 @main.group()
 def standin() -> None:
     """Stand-ins for the outside, for rehearsals and by hand."""
--- a/foxlift/director/core.py
+++ b/foxlift/director/core.py
@@ -315,8 +315,8 @@
     def booked(self, session: ev.Session, rung: int) -> ev.Booked:
         """What the rung takes and what the player may choose: one thing, whatever the source offers."""
         rate, renditions = self.rate_kb(session, rung), session.title.source.renditions
-        fit = renditions.fit(rate)
-        return ev.Booked(renditions.booked_kb(rate), ceil(fit.video_kbps), ceil(fit.side_kbps))
+        floor = self.rate_kb(session, self.settings.classes[session.klass].floor)
+        return ev.Booked(renditions.booked_kb(rate, floor), ceil(renditions.fit(rate, floor).cap_kbps))
 
     def _attempt(self, event: at.Event) -> None:
         for action in self.attempts.handle(self._now, event):
--- a/foxlift/director/daemon.py
+++ b/foxlift/director/daemon.py
@@ -378,7 +378,6 @@
             path_token=session.path_token,
             within_ms=put.timeout_ms,
             max_kbps=put.booked.max_kbps,
-            max_side_kbps=put.booked.max_side_kbps,
         )
 
         def result(found: Answer | Failure) -> None:
@@ -397,7 +396,7 @@
 
     def _put_resume(self, put: ev.PutResume) -> None:
         key, booked = (put.session.number, put.attempt), put.booked
-        order = RungOrder(put.rung, booked.rate_kb, booked.max_kbps, booked.max_side_kbps)
+        order = RungOrder(put.rung, booked.rate_kb, booked.max_kbps)
 
         def result(found: Answer | Failure) -> None:
             self._puts.pop(key, None)
@@ -419,7 +418,7 @@
 
     def _change_rung(self, change: ev.ChangeRung) -> None:
         booked = change.booked
-        order = RungOrder(change.rung, booked.rate_kb, booked.max_kbps, booked.max_side_kbps)
+        order = RungOrder(change.rung, booked.rate_kb, booked.max_kbps)
         self._pool(change.node).call(
             "PUT",
             f"/sessions/{change.set_up}/rung",
--- a/foxlift/director/events.py
+++ b/foxlift/director/events.py
@@ -185,11 +185,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Booked:
-    """What a rung of a session takes of its box (kB/s), and the caps for its player (kbit/s)."""
+    """What a rung of a session takes of its box (kB/s), and the cap for its player (kbit/s)."""
 
     rate_kb: float
     max_kbps: int
-    max_side_kbps: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -485,7 +485,12 @@
         if node is not None and same_process:
             self._judge(node, event.outcome, was_playing)
         if event.outcome is fl.Outcome.FULL and node is not None:
-            node.link.tell(max(1.0, self.settings.node_full_from, node.link.use or 0.0), self.now)
+            if self.settings.node_full_from > 0:
+                node.link.tell(max(1.0, self.settings.node_full_from, node.link.use or 0.0), self.now)
+            else:
+                # nodes that take set-ups however full their link is refuse for want of places: no news of the
+                # link, which a director without sessions there would believe for good, but a while's rest
+                node.link.short_until = self.now + SHORT_LASTS_MS
         if event.outcome is fl.Outcome.NEVER_SENT and session.attempts > 1 and session.sent_at in self.extras:
             self.extras.remove(session.sent_at)
         session.may_have_run |= not event.outcome.proves_unrun
--- a/foxlift/manifest/renditions.py
+++ b/foxlift/manifest/renditions.py
@@ -2,13 +2,16 @@
 
 A rung of the ladder is a rate for all that a session fetches. A player plays one rendition of each kind at a
 time (video, audio, text), out of one of the choices that a Period offers of that kind: a language, a codec
-family, a camera. So for a rate:
+family, a camera. So for a session:
 
-- of audio, text and the like, what is at most a part of the rate each (`SIDE_PART`) may be played;
-- video may take what the best of those leaves;
+- of audio, text and the like, what is at most a part (`SIDE_PART`) of its floor's rate may be played, at any
+  rung: players choose sound by what comes through, and no cap reaches them there;
+- video may take what the best of those leaves of the rung's rate;
 - of every choice its lowest rendition may always be played, fit or not: never nothing.
 
-What is booked is the rate, or what may be played at most where a lowest rendition lies above it.
+What is booked is the rate, or what may be played at most where a lowest rendition lies above it. The cap that
+a player is told (CMSD `mb`) is that of video and sound together: dash.js takes the sound's rate off it before
+it chooses video, Shaka holds the two together against it.
 """
 
 from __future__ import annotations
@@ -19,7 +22,7 @@
 from itertools import pairwise
 
 SIDE_PART = 0.25  # of the rate, for each kind beside video
-VIDEO = "video"
+VIDEO, AUDIO = "video", "audio"
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,21 +53,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Fit:
-    """What a rate allows: the highest rate of a rendition, video and other, and all that may be played at
-    once (kbit/s)."""
+    """What a rate allows, kbit/s: a rendition of video, one of another kind, video with sound, and all."""
 
     video_kbps: float
     side_kbps: float
+    cap_kbps: float
     total_kbps: float
 
-    def cap(self, kind: str) -> float:
-        """The cap that holds for a kind, kbit/s."""
-        return self.video_kbps if kind == VIDEO else self.side_kbps
-
-    def allows(self, choice: Choice, rendition: Rendition) -> bool:
-        """Whether a rendition may be played; a choice's lowest always may."""
-        return rendition.kbps <= self.cap(choice.kind)
-
 
 @dataclass(frozen=True, slots=True)
 class Misfit:
@@ -80,36 +75,49 @@
     def __init__(self, periods: Iterable[tuple[Choice, ...]]) -> None:
         self.periods = tuple(periods)
         self.kinds = frozenset(choice.kind for period in self.periods for choice in period)
-        self._fits: dict[float, Fit] = {}
+        self._fits: dict[tuple[float, float], Fit] = {}
 
-    def fit(self, rate_kb: float) -> Fit:
-        """What may be played at a rate (kB/s)."""
-        found = self._fits.get(rate_kb)
+    def fit(self, rate_kb: float, floor_kb: float) -> Fit:
+        """What may be played at a rate by a session with this floor (kB/s)."""
+        key = (max(rate_kb, floor_kb), floor_kb)
+        found = self._fits.get(key)
         if found is None:
-            found = self._fits[rate_kb] = self._fit(rate_kb * 8)
+            found = self._fits[key] = self._fit(key[0] * 8, floor_kb * 8)
         return found
 
-    def _fit(self, rate: float) -> Fit:
+    def _fit(self, rate: float, floor: float) -> Fit:
         # without video there is nothing to leave the rate to
-        side_rate = rate * SIDE_PART if VIDEO in self.kinds else rate / max(len(self.kinds), 1)
-        side = max(
-            (c.best(side_rate).kbps for period in self.periods for c in period if c.kind != VIDEO),
-            default=0.0,
-        )
-        # a cap holds for the whole title: it is that of the Period that allows least, but for lowest ones
+        side_rate = floor * SIDE_PART if VIDEO in self.kinds else floor / max(len(self.kinds), 1)
+        sides = [c for period in self.periods for c in period if c.kind != VIDEO]
+        side = max((c.best(side_rate).kbps for c in sides), default=0.0)
         video = 0.0
         for period in self.periods:
-            kinds = {c.kind for c in period if c.kind != VIDEO}
-            beside = sum(max(c.best(side).kbps for c in period if c.kind == kind) for kind in kinds)
-            video = max(
-                video, max((c.best(rate - beside).kbps for c in period if c.kind == VIDEO), default=0.0)
-            )
-        total = max((self._most(period, video, side) for period in self.periods), default=0.0)
+            found = [c for c in period if c.kind == VIDEO]
+            left = rate - sum(self._beside(period, side).values())
+            video = max(video, max((c.best(left).kbps for c in found), default=0.0))
+        total = self._most(video, side)
         while total > rate and (lower := self._next_lower(video)) is not None:
-            # a Period with more beside its video than the others: the cap comes down for all
-            video = lower
-            total = max(self._most(period, video, side) for period in self.periods)
-        return Fit(video, side, total)
+            # a cap holds for the whole title: a Period with more beside its video brings it down for all
+            video, total = lower, self._most(lower, side)
+        cap = max(self._video(p, video) + self._beside(p, side).get(AUDIO, 0.0) for p in self.periods)
+        return Fit(video, side, cap, total)
+
+    @staticmethod
+    def _beside(period: tuple[Choice, ...], side: float) -> dict[str, float]:
+        """The most that each kind beside video takes."""
+        found: dict[str, float] = {}
+        for choice in period:
+            if choice.kind != VIDEO:
+                found[choice.kind] = max(found.get(choice.kind, 0.0), choice.best(side).kbps)
+        return found
+
+    @staticmethod
+    def _video(period: tuple[Choice, ...], cap: float) -> float:
+        return max((c.best(cap).kbps for c in period if c.kind == VIDEO), default=0.0)
+
+    def _most(self, video: float, side: float) -> float:
+        """The most that can be fetched at once."""
+        return max(self._video(p, video) + sum(self._beside(p, side).values()) for p in self.periods)
 
     def _next_lower(self, cap: float) -> float | None:
         """The next lower cap that still changes anything."""
@@ -118,31 +126,24 @@
         below = {r.kbps for c in choices for r in c.renditions if floor <= r.kbps < cap}
         return max(below, default=None)
 
-    def _most(self, period: tuple[Choice, ...], video: float, side: float) -> float:
-        """The most that can be fetched at once within the caps."""
-        found: dict[str, float] = {}
-        for choice in period:
-            best = choice.best(video if choice.kind == VIDEO else side).kbps
-            found[choice.kind] = max(found.get(choice.kind, 0.0), best)
-        return sum(found.values())
-
-    def booked_kb(self, rate_kb: float) -> float:
+    def booked_kb(self, rate_kb: float, floor_kb: float) -> float:
         """What to book for a rate: the rate, or what its lowest renditions take (kB/s)."""
-        return max(rate_kb, self.fit(rate_kb).total_kbps / 8)
+        return max(rate_kb, self.fit(rate_kb, floor_kb).total_kbps / 8)
 
     def listed(self, floor_kb: float, top_kb: float) -> frozenset[int]:
         """Which Representations a manifest lists for rates from one to the other.
 
         Of video none below what the floor's rate allows, and of every choice at least one.
         """
-        low, high = self.fit(floor_kb), self.fit(max(top_kb, floor_kb))
+        low, high = self.fit(floor_kb, floor_kb), self.fit(top_kb, floor_kb)
         found: set[int] = set()
         for period in self.periods:
             for choice in period:
-                cap = high.cap(choice.kind)
-                top = choice.best(cap)
-                least = choice.best(low.video_kbps) if choice.kind == VIDEO else choice.lowest
-                least = min(least, top, key=lambda r: r.kbps)
+                if choice.kind == VIDEO:
+                    top, least = choice.best(high.video_kbps), choice.best(low.video_kbps)
+                    least = min(least, top, key=lambda r: r.kbps)
+                else:
+                    top, least = choice.best(low.side_kbps), choice.lowest
                 found |= {r.index for r in choice.renditions if least.kbps <= r.kbps <= top.kbps}
         return frozenset(found)
 
@@ -150,7 +151,7 @@
         """What does not fit a ladder (kB/s, class scale included) from its floor on."""
         found: list[Misfit] = []
         floor_kb = ladder_kb[floor]
-        fit = self.fit(floor_kb)
+        fit = self.fit(floor_kb, floor_kb)
         if fit.total_kbps > floor_kb * 8 + 1e-6:
             worst = max(
                 (c for period in self.periods for c in period if c.kind == VIDEO or VIDEO not in self.kinds),
@@ -163,7 +164,7 @@
                     f" rung allowed is {floor_kb * 8:.0f} kbit/s",
                 )
             )
-        shown = [self.fit(kb).video_kbps for kb in ladder_kb[floor:]]
+        shown = [self.fit(kb, floor_kb).video_kbps for kb in ladder_kb[floor:]]
         for k, (below, above) in enumerate(pairwise(shown), floor):
             if below == above and VIDEO in self.kinds:
                 found.append(
--- a/foxlift/standins/box.py
+++ b/foxlift/standins/box.py
@@ -12,7 +12,7 @@
 
 from foxlift.boxes.notices import BoxNotice, Delivered, EndedThere, Hello, LinkUse, RungThere, encode_notice
 from foxlift.boxes.resource import RungOrder, SetUpOrder
-from foxlift.http import Cors, Exchange, Headers, Limits, Server, StreamOut
+from foxlift.http import Cors, Exchange, Headers, Limits, Request, Server, StreamOut
 from foxlift.standins.media import Filler, Media
 from foxlift.standins.model import BoxModel, BoxSession
 
@@ -53,6 +53,7 @@
         self.media: Media = media or Filler({}, frozenset(), segment_s, scale)
         self._cors = Cors(origins)
         self.on_fallen = on_fallen
+        self.on_segment: Callable[[str, str, Request], None] | None = None
         self.port = 0
         self.up = False
         self.hanging = False
@@ -178,7 +179,6 @@
         )
         session = model.sessions[set_up]
         session.paid, session.max_kbps = order.paid, order.max_kbps
-        session.max_side_kbps = order.max_side_kbps
         model.counter += 1
         self._stream_lost.setdefault(order.director, now)
         if order.director in self._streams:
@@ -224,8 +224,7 @@
         self._tell(session.director, RungThere(set_up, order.rung, session.told_ms))
 
     def _take_rung(self, session: BoxSession, order: RungOrder) -> None:
-        session.rung, session.rate_kb = order.rung, order.rate_kb
-        session.max_kbps, session.max_side_kbps = order.max_kbps, order.max_side_kbps
+        session.rung, session.rate_kb, session.max_kbps = order.rung, order.rate_kb, order.max_kbps
 
     def _resume(self, exchange: Exchange, set_up: str) -> None:
         """Take a parked session's place up again: the same set-up, so nothing is set up a second time."""
@@ -279,6 +278,8 @@
             exchange.reply_problem(403, "no such session here")
             return
         session.last_seen = self.loop.time()
+        if self.on_segment is not None:
+            self.on_segment(self.model.name, session.set_up, exchange.request)
         if parts[-1].startswith("last-"):
             session.finished = True
         asked_range = exchange.request.headers.get("range", "")
@@ -286,10 +287,9 @@
         if part.status == 404:
             exchange.reply_problem(404, "no such file in this title")
             return
-        cap = session.max_side_kbps if part.side else session.max_kbps
         headers = part.headers
-        if cap:
-            headers += (("cmsd-dynamic", f'"{self.model.name}";mb={cap}'),)
+        if session.max_kbps:
+            headers += (("cmsd-dynamic", f'"{self.model.name}";mb={session.max_kbps}'),)
         if exchange.request.method == "HEAD" or not part.body:
             exchange.start_stream(part.status, headers, len(part.body)).finish()
             return
--- a/foxlift/standins/checker.py
+++ b/foxlift/standins/checker.py
@@ -620,7 +620,8 @@
         if cap is not None:
             kbps, sound = shown_kbps(exchange.answer.body)
             ladder = [kb * terms.scale * 8 + 1 for kb in self.terms.ladder_kb]
-            now = max([rate for rate in kbps if rate <= int(cap[1])] or [min(kbps)])
+            # the cap is that of video and sound together
+            now = max([rate for rate in kbps if rate + sound <= int(cap[1])] or [min(kbps)])
             rungs = {bisect_right(ladder, now + sound)}
         return worth[min(max(rungs), len(worth) - 1)] / worth[best]
 
--- a/foxlift/standins/media.py
+++ b/foxlift/standins/media.py
@@ -34,7 +34,6 @@
     status: int
     headers: Headers
     body: bytes
-    side: bool = False  # audio, text and the like: the other cap holds
 
 
 class Media(Protocol):
@@ -44,12 +43,12 @@
         """The answer for a path below the title. `rate_kb` is the rate of the session's rung."""
 
 
-def cut(body: bytes, asked_range: str, headers: Headers, side: bool = False) -> Part:
+def cut(body: bytes, asked_range: str, headers: Headers) -> Part:
     """The part of a body that a Range header asks for."""
     headers += (("accept-ranges", "bytes"),)
     matched = _RANGE.match(asked_range.replace(" ", ""))
     if matched is None or matched.groups() == ("", ""):
-        return Part(200, headers, body, side)
+        return Part(200, headers, body)
     first, last = matched.groups()
     if not first:
         start, end = max(len(body) - int(last), 0), len(body)
@@ -57,9 +56,9 @@
         start = int(first)
         end = min(int(last) + 1 if last else len(body), len(body))
     if start >= len(body) or start >= end:
-        return Part(416, (*headers, ("content-range", f"bytes */{len(body)}")), b"", side)
+        return Part(416, (*headers, ("content-range", f"bytes */{len(body)}")), b"")
     where = f"bytes {start}-{end - 1}/{len(body)}"
-    return Part(206, (*headers, ("content-range", where)), body[start:end], side)
+    return Part(206, (*headers, ("content-range", where)), body[start:end])
 
 
 class Filler:
@@ -77,13 +76,13 @@
     def part(self, path: str, asked_range: str, rate_kb: float) -> Part:
         folders = path.split("/")[:-1]
         name = next((folder for folder in folders if folder in self._rates), "")
-        side = name in self._sides
-        headers: Headers = (("content-type", "audio/mp4" if side else "video/mp4"),)
+        kind = "audio/mp4" if name in self._sides else "video/mp4"
+        headers: Headers = (("content-type", kind),)
         if path.rsplit("/", 1)[-1].startswith("init"):
-            return cut(b"init", asked_range, headers, side)
+            return cut(b"init", asked_range, headers)
         rate = self._rates.get(name, rate_kb)
         size = max(int(rate * 1000 * self._segment_s * self._scale), 4)
-        return cut(bytes(size), asked_range, headers, side)
+        return cut(bytes(size), asked_range, headers)
 
 
 class Folder:
@@ -102,5 +101,4 @@
         except (OSError, ValueError):
             return Part(404, (), b"")
         kind = TYPES.get(found.suffix, "application/octet-stream")
-        side = not kind.startswith("video/") or "audio" in found.name
-        return cut(body, asked_range, (("content-type", kind),), side)
+        return cut(body, asked_range, (("content-type", kind),))
--- a/foxlift/standins/model.py
+++ b/foxlift/standins/model.py
@@ -45,7 +45,6 @@
     finished: bool = False
     paid: bool = False
     max_kbps: int = 0
-    max_side_kbps: int = 0
     paced_to: float = -1e9  # up to when, at its rate, it has been sent what was sent
 
     def wait(self, now: float, size: int, bytes_per_s: float) -> float:
--- a/foxlift/standins/mpd.py
+++ b/foxlift/standins/mpd.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 NS = "{urn:mpeg:dash:schema:mpd:2011}"
+_PADDED = re.compile(r"\$Number%0(\d+)d\$")
 _DURATION = re.compile(r"^PT(?:(\d+)H)?(?:(\d+)M)?(?:([\d.]+)S)?$")
 
 
@@ -31,7 +32,8 @@
     def segment(self, name: str, at_s: float) -> str:
         """Path of the segment that holds a media time."""
         number = self.first_number + int(at_s / self.segment_s + 1e-6)
-        return self.media.replace("$RepresentationID$", name).replace("$Number$", str(number))
+        path = self.media.replace("$RepresentationID$", name).replace("$Number$", str(number))
+        return _PADDED.sub(lambda found: str(number).zfill(int(found[1])), path)
 
     def initialization(self, name: str) -> str:
         return self.init.replace("$RepresentationID$", name)
--- a/foxlift/standins/player.py
+++ b/foxlift/standins/player.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass, field, replace
 from urllib.parse import urlsplit
 
-from foxlift.standins.mpd import Mpd, Track, read_mpd
+from foxlift.standins.mpd import Mpd, read_mpd
 
 MAX_BUFFER_S = 8.0
 SAFE = 0.85  # of the throughput seen, for the choice of a rendition
@@ -152,7 +152,7 @@
         self._new_token, self._pick = new_token, pick
         self.watching = Watching(viewer)
         self._retries = retries
-        self.cap = self.side_cap = 1e9  # kbit/s, as CMSD said last, of video and of audio
+        self.cap = 1e9  # kbit/s, as CMSD said last, of video and sound together
         self.tabs: list[asyncio.Task[Watching]] = []
         self._bought = 0
         self._buy()
@@ -224,12 +224,11 @@
             return None, 0.5 + self._pick()
         return None, None
 
-    def _hear_cap(self, headers: dict[str, str]) -> float | None:
+    def _hear_cap(self, headers: dict[str, str]) -> None:
         """CTA-5006 `mb`, kbit/s; a manifest's is the first one known."""
         found = _MB.search(headers.get("cmsd-dynamic", ""))
         if found is not None:
             self.cap = float(found[1])
-        return None if found is None else float(found[1])
 
     # ---- Playing ------------------------------------------------------------------------------------------
     async def _play(self, manifest: Mpd, seconds: float) -> tuple[float, bool]:
@@ -287,27 +286,30 @@
     async def _fetch_both(self, run: _Run, last: bool) -> bool:
         """The next segment of video and audio, side by side; False where there is no way to it."""
         loop, manifest = asyncio.get_running_loop(), run.manifest
-        name = manifest.video.pick(min(self.cap, run.throughput * SAFE))
+        audio = manifest.audio
+        sound = "" if audio is None else audio.renditions[-1][0]
+        beside = 0.0 if audio is None else audio.kbps(sound)
+        # the cap is that of video and sound together, as dash.js and Shaka read it
+        name = manifest.video.pick(min(self.cap, run.throughput * SAFE) - beside)
         if name != run.name:
             self.watching.switches += run.name != ""
             run.name, run.kbps = name, manifest.video.kbps(name)
-            if not await self._fetch(run, manifest.video, manifest.video.initialization(name), 0):
+            if not await self._fetch(run, manifest.video.initialization(name), 0):
                 return False
         begin = loop.time()
         path = manifest.video.segment(name, run.end)
         if last:
             head, _, tail = path.rpartition("/")
             path = f"{head}/last-{tail}"
-        wishes = [self._fetch(run, manifest.video, path, 0)]
-        if manifest.audio is not None:
-            audio = manifest.audio
-            wishes.append(self._fetch(run, audio, audio.segment(audio.pick(self.side_cap), run.end), 1))
+        wishes = [self._fetch(run, path, 0)]
+        if audio is not None:
+            wishes.append(self._fetch(run, audio.segment(sound, run.end), 1))
         there = await asyncio.gather(*wishes)
         if not all(there):
             return False
         took = max(loop.time() - begin, 1e-3)
         # the link's rate in the title's own units: how much faster than play the segment came
-        seen = run.kbps * manifest.video.segment_s / took
+        seen = (run.kbps + beside) * manifest.video.segment_s / took
         run.throughput = seen if run.throughput > 1e8 else 0.5 * run.throughput + 0.5 * seen
         self._pass_time(run, stall=True)
         # at a segment's border again after a seek into one
@@ -317,14 +319,14 @@
         self.watching.highest_buffer_s = max(self.watching.highest_buffer_s, run.buffer)
         return True
 
-    async def _fetch(self, run: _Run, track: Track, path: str, line: int) -> bool:
+    async def _fetch(self, run: _Run, path: str, line: int) -> bool:
         """One file, by the first BaseURL that works; the one that failed is not asked again."""
         patience = max(run.buffer, 0.0) + 6.0
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(patience):
                 while run.base < len(run.manifest.bases):
                     base = run.base
-                    status = await self._get(run, run.manifest.bases[base] + path, line, track)
+                    status = await self._get(run, run.manifest.bases[base] + path, line)
                     if status in (200, 206):
                         return True
                     if run.base != base:
@@ -339,7 +341,7 @@
                         return False
         return False
 
-    async def _get(self, run: _Run, url: str, line: int, track: Track) -> int:
+    async def _get(self, run: _Run, url: str, line: int) -> int:
         """The status in the end; redirects are followed, a connection that broke gives 0."""
         try:
             for _ in range(3):
@@ -356,10 +358,7 @@
         run.wait_s = _come_back_s(headers) if status in (429, 503) else 0.5
         if status in (200, 206):
             run.retries = 0
-            if track is run.manifest.video:
-                self._hear_cap(headers)
-            elif (found := _MB.search(headers.get("cmsd-dynamic", ""))) is not None:
-                self.side_cap = float(found[1])
+            self._hear_cap(headers)
         return status
 
     async def _reload(self, run: _Run) -> None:
--- a/tests/test_media.py
+++ b/tests/test_media.py
@@ -64,7 +64,8 @@
     assert len(filler.part("v500/3.m4s", "", 999.0).body) == 125_000
     assert len(filler.part("else/3.m4s", "", 10.0).body) == 20_000
     sound = filler.part("a/3.m4s", "", 999.0)
-    assert (len(sound.body), sound.side) == (16_000, True)
+    assert len(sound.body) == 16_000
+    assert dict(sound.headers)["content-type"] == "audio/mp4"
     assert filler.part("v500/init.mp4", "", 999.0).body == b"init"
 
 
--- a/tests/test_renditions.py
+++ b/tests/test_renditions.py
@@ -40,55 +40,51 @@
     return Renditions(periods)
 
 
-def playable(title: Renditions, rate: float, listed: frozenset[int]) -> float:
-    """The most that a player can fetch at once when it keeps to the caps, by a plain count (kbit/s)."""
-    fit, most = title.fit(rate), 0.0
+def playable(title: Renditions, rate: float, floor: float, listed: frozenset[int]) -> float:
+    """The most that a player which heeds the cap as dash.js does can fetch at once, by a plain count."""
+    cap, most = title.fit(rate, floor).cap_kbps, 0.0
     for period in title.periods:
-        by_kind: dict[str, float] = {}
-        for choice in period:
-            there = [r.kbps for r in choice.renditions if r.index in listed]
-            cap = fit.video_kbps if choice.kind == "video" else fit.side_kbps
-            best = max([kbps for kbps in there if kbps <= cap] or [min(there)])
-            by_kind[choice.kind] = max(by_kind.get(choice.kind, 0.0), best)
-        most = max(most, sum(by_kind.values()))
+        there = [(c.kind, [r.kbps for r in c.renditions if r.index in listed]) for c in period]
+        sounds = [kbps for kind, rates in there if kind == "audio" for kbps in rates] or [0.0]
+        for sound in sounds:
+            video = [
+                max([kbps for kbps in rates if kbps + sound <= cap] or [min(rates)])
+                for kind, rates in there
+                if kind == "video"
+            ]
+            text = max((kbps for kind, rates in there if kind == "text" for kbps in rates), default=0.0)
+            most = max(most, max(video, default=0.0) + sound + text)
     return most
 
 
 @given(titles(), RATES, RATES, RATES)
 def test_never_more_than_booked_and_never_nothing(title: Renditions, a: float, b: float, c: float) -> None:
     floor, rate, top = sorted([a, b, c])
-    listed = title.listed(floor, top)
-    for period in title.periods:
-        for choice in period:
-            assert any(r.index in listed for r in choice.renditions)
-    assert playable(title, rate, listed) <= title.booked_kb(rate) * 8 + 1e-6
-    assert title.booked_kb(rate) >= rate
-    # a live title lists what fits now: nothing of it is above what is booked
-    assert playable(title, rate, title.listed(floor, rate)) <= title.booked_kb(rate) * 8 + 1e-6
+    booked = title.booked_kb(rate, floor)
+    for listed in (title.listed(floor, top), title.listed(floor, rate)):  # of a static title, of a live one
+        for period in title.periods:
+            for choice in period:
+                assert any(r.index in listed for r in choice.renditions)
+        assert playable(title, rate, floor, listed) <= booked * 8 + 1e-6
+    assert booked >= rate
 
 
-@given(titles(), RATES, RATES)
-def test_a_higher_rate_never_shows_less(title: Renditions, a: float, b: float) -> None:
-    low, high = sorted([a, b])
-    assert title.fit(low).side_kbps <= title.fit(high).side_kbps
-    assert title.listed(0.0, low) <= title.listed(0.0, high)
-    assert title.booked_kb(low) <= title.booked_kb(high) + 1e-9
+@given(titles(), RATES, RATES, RATES)
+def test_a_higher_rate_never_shows_less(title: Renditions, a: float, b: float, c: float) -> None:
+    floor, low, high = sorted([a, b, c])
+    assert title.fit(low, floor).cap_kbps <= title.fit(high, floor).cap_kbps
+    assert title.listed(floor, low) <= title.listed(floor, high)
+    assert title.booked_kb(low, floor) <= title.booked_kb(high, floor) + 1e-9
 
 
 @given(titles(), RATES, RATES)
-def test_below_the_floor_no_video_is_listed_that_a_better_one_stands_for(
-    title: Renditions, a: float, b: float
-) -> None:
+def test_video_below_what_the_floor_allows_is_not_listed(title: Renditions, a: float, b: float) -> None:
     floor, top = sorted([a, b])
-    listed = title.listed(floor, top)
-    cap = title.fit(floor).video_kbps
+    listed, cap = title.listed(floor, top), title.fit(floor, floor).video_kbps
     for period in title.periods:
         for choice in period:
             if choice.kind == "video":
-                least = min(r.kbps for r in choice.renditions if r.index in listed)
-                assert least == choice.best(cap).kbps or least == min(
-                    choice.best(cap).kbps, choice.best(title.fit(top).video_kbps).kbps
-                )
+                assert min(r.kbps for r in choice.renditions if r.index in listed) == choice.best(cap).kbps
 
 
 def test_what_does_not_fit_the_ladder_is_named_with_its_line() -> None:
@@ -191,7 +187,7 @@
     root = etree.fromstring(source.write(view(0.0, 10.0, 10.0)))
     codecs = [str(c)[:4] for c in root.xpath("//d:Representation/@codecs", namespaces=NS)]
     assert sorted(codecs) == ["avc1", "hvc1", "mp4a", "mp4a"]
-    assert source.renditions.booked_kb(10.0) > 10.0
+    assert source.renditions.booked_kb(10.0, 10.0) > 10.0
 
 
 def test_a_manifest_of_a_thousand_renditions_over_fifty_sets_is_read_and_written_in_bounded_time() -> None:
