--- a/foxlift/rehearsal/days/short-day.sexp
+++ b/foxlift/rehearsal/days/short-day.sexp
@@ -12,6 +12,10 @@
   (ladder-kb 150 400 900 2000) (ladder-worth 0.22 0.5 0.76 1)
   (link-kb 7000) (uplink-kb 16000) (places 30) (warm-up-ms 3000)
   (extra-free 3) (extra-ratio 0.2) (extra-span-ms 5000) (segment-s 0.5)
+  (idle-s 2) (park-s 20)
+  (habits
+    (habit (do pause) (part 0.2) (value 4)) (habit (do seek) (part 0.15) (value 300))
+    (habit (do reload) (part 0.1)) (habit (do sleep) (part 0.1) (value 3)) (habit (do tab) (part 0.05) (value 2)))
   (steps
     (step (at-s 0.5) (do crowd) (on "t0") (value 15) (for-s 1))
     (step (at-s 1) (do drain) (on "b2"))
--- a/foxlift/standins/box.py
+++ b/foxlift/standins/box.py
@@ -17,7 +17,7 @@
 from foxlift.standins.model import BoxModel, BoxSession
 
 TICK_S = 0.1
-PIECES = 4  # in which a segment is sent, or more where one would be larger than
+PIECE_S = 0.25  # of its session's rate is sent at a time: what is small leaves whole, as from any shaper
 PIECE_BYTES = 32_768
 
 
@@ -310,10 +310,10 @@
             session.streams -= 1
             stream.finish()
             return
-        size = min(-(-len(body) // PIECES), PIECE_BYTES)
+        rate = session.rate_kb * 1000 * self.scale * self.model.speed
+        size = max(min(int(rate * PIECE_S), PIECE_BYTES), 1)
         piece = body[at : at + size]
         stream.write(piece)
-        rate = session.rate_kb * 1000 * self.scale * self.model.speed
         wait = session.wait(now, len(piece), rate)
         self._later(wait, lambda: self._piece(exchange, stream, session, body, at + size))
 
--- a/foxlift/standins/model.py
+++ b/foxlift/standins/model.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 AHEAD = 2.0  # a link with room sends at most so many times the rate, until the player's buffer is full
-CREDIT_S = 1.0  # of its rate a session may have at once after a pause
+CREDIT_S = 3.0  # of its rate a session may have at once after a pause, or at its start
 
 
 @dataclass
--- a/foxlift/standins/sample.py
+++ b/foxlift/standins/sample.py
@@ -75,6 +75,8 @@
         for stream, _ in streams:
             out.mux(stream.encode())
         out.mux(sound.encode())
+    # the muxer claims that switching needs no initialization, though each size has one of its own
+    path.write_text(path.read_text().replace(' bitstreamSwitching="true"', ""))
     return path
 
 
