--- a/foxlift/standins/box.py
+++ b/foxlift/standins/box.py
@@ -280,7 +280,7 @@
         session.last_seen = self.loop.time()
         if self.on_segment is not None:
             self.on_segment(self.model.name, session.set_up, exchange.request)
-        if parts[-1].startswith("last-"):
+        if "last=1" in exchange.request.query:
             session.finished = True
         asked_range = exchange.request.headers.get("range", "")
         part = self.media.part("/".join(parts[4:]), asked_range, session.rate_kb)
