--- a/foxlift/store/intents.py
+++ b/foxlift/store/intents.py
@@ -143,8 +143,9 @@
     def _write(self) -> None:
         if self._writing or not self._gathering:
             return
-        if self._closed:
-            error = OSError(errno.EBADF, "the record is closed")
+        if self._closed or self.failed is not None:
+            # whatever the port would say now: what a failed sync left behind is not known
+            error = self.failed or OSError(errno.EBADF, "the record is closed")
             waiting, self._waiting, self._gathering = self._waiting, [], []
             for done in waiting:
                 done(error)
--- a/tests/memory.py
+++ b/tests/memory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import os
 
 from foxlift.store.files import Done, SyncFile
 
@@ -13,6 +14,7 @@
     def __init__(self, data: dict[str, bytes] | None = None) -> None:
         self.data = dict(data or {})
         self.hold = self.broken = False
+        self.error = errno.EIO
         self.held: list[tuple[str, bytes, Done]] = []
 
     def read(self, name: str) -> bytes | None:
@@ -44,7 +46,7 @@
 
     def _end(self, name: str, data: bytes, done: Done) -> None:
         if self.broken:
-            done(OSError(errno.EIO, "input/output error"))
+            done(OSError(self.error, os.strerror(self.error)))
             return
         self.data[name] = self.data.get(name, b"") + data
         done(None)
--- a/tests/test_director.py
+++ b/tests/test_director.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -179,15 +180,21 @@
     run(tmp_path, test, files=files)
 
 
-def test_no_paid_set_up_leaves_without_its_record(tmp_path: Path) -> None:
+@pytest.mark.parametrize("trouble", [errno.EIO, errno.ENOSPC, errno.EROFS])
+def test_no_paid_set_up_leaves_without_its_record(tmp_path: Path, trouble: int) -> None:
+    """The disk fails, is full, or was mounted read-only: free viewers go on, the operator is told."""
     files = MemoryFiles()
 
     async def test(world: World) -> None:
-        files.broken = True
+        files.broken, files.error = True, trouble
         assert (await world.manifest(world.token("a", "graded"))).status == 503
         assert world.set_ups("a") == 0
         assert (await world.manifest(world.token("b", "briefing"))).status == 200
         assert world.director.counters.total("intents not kept") > 0
+        assert world.director.counters.total("ledger records not kept") == 1
+        files.broken = False  # mended under the running director: not trusted again
+        assert (await world.manifest(world.token("c", "graded"))).status == 503
+        assert world.set_ups("c") == 0
 
     run(tmp_path, test, files=files)
 
