--- a/foxlift/director/core.py
+++ b/foxlift/director/core.py
@@ -341,9 +341,8 @@
 
     def _put(self, put: at.Put) -> None:
         session = self.sessions[put.session]
-        make = ev.PutSetUp if session.place is None else ev.PutResume
         self._out.append(
-            make(
+            ev.PutSetUp(
                 session=session,
                 attempt=put.attempt,
                 set_up=self.attempts.set_up_id(put.session, put.attempt),
--- a/foxlift/director/daemon.py
+++ b/foxlift/director/daemon.py
@@ -282,9 +282,9 @@
                 self._keep_intent(action)
             case ev.SettleIntent(token, verdict):
                 self.book.settle(token, verdict)
-            case ev.PutSetUp():
+            case ev.PutSetUp() if action.session.place is None:
                 self._put(action)
-            case ev.PutResume():
+            case ev.PutSetUp():
                 self._put_resume(action)
             case ev.ChangeRung():
                 self._change_rung(action)
@@ -394,7 +394,7 @@
             timeout_ms=put.timeout_ms,
         )
 
-    def _put_resume(self, put: ev.PutResume) -> None:
+    def _put_resume(self, put: ev.PutSetUp) -> None:
         key, booked = (put.session.number, put.attempt), put.booked
         order = RungOrder(put.rung, booked.rate_kb, booked.max_kbps)
 
--- a/foxlift/director/events.py
+++ b/foxlift/director/events.py
@@ -193,20 +193,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PutSetUp:
-    """Send a set-up to a box; report Answered or Lost."""
+    """Send a set-up to a box; report Answered or Lost.
 
-    session: Session
-    attempt: int
-    set_up: str
-    node: int
-    rung: int
-    booked: Booked
-    timeout_ms: float
-
-
-@dataclass(frozen=True, slots=True)
-class PutResume:
-    """Ask a box to take a parked set-up up again; report Answered or Lost, and PlaceGone before Answered."""
+    A session that has a place is taken up again there: where the box does not have it, PlaceGone comes first.
+    """
 
     session: Session
     attempt: int
@@ -288,7 +278,6 @@
     | KeepIntent
     | SettleIntent
     | PutSetUp
-    | PutResume
     | ChangeRung
     | attempts.AbortPut
     | attempts.Release
--- a/foxlift/standins/box.py
+++ b/foxlift/standins/box.py
@@ -151,14 +151,7 @@
         if model.gone.get(set_up, 0.0) > now:
             exchange.reply_problem(410, "released before it came")
             return
-        why = model.takes(now)
-        if model.fallen:
-            self.die()
-            if self.on_fallen is not None:
-                self.on_fallen(self)
-            return
-        if why is not None:
-            exchange.reply_problem(503, why, extra=(("foxlift-refusal", why), *self._load_header()))
+        if not self._has_room(exchange, now):
             return
         model.setting_up += 1
         self.set_ups += 1
@@ -166,6 +159,18 @@
         lost = model.random.random() < self.lose_answers
         self._later(model.set_up_time(now), lambda: self._set_up_done(exchange, set_up, order, lost))
 
+    def _has_room(self, exchange: Exchange, now: float) -> bool:
+        """Whether one more session is taken; else it is refused here, or the box falls over."""
+        why = self.model.takes(now)
+        if self.model.fallen:
+            self.die()
+            if self.on_fallen is not None:
+                self.on_fallen(self)
+            return False
+        if why is not None:
+            exchange.reply_problem(503, why, extra=(("foxlift-refusal", why), *self._load_header()))
+        return why is None
+
     def _set_up_done(self, exchange: Exchange, set_up: str, order: SetUpOrder, lost: bool) -> None:
         model, now = self.model, self.loop.time()
         model.setting_up -= 1
@@ -240,14 +245,7 @@
         if set_up not in model.parked:
             exchange.reply_problem(404, "no such session is parked here")
             return
-        why = model.takes(now)
-        if model.fallen:
-            self.die()
-            if self.on_fallen is not None:
-                self.on_fallen(self)
-            return
-        if why is not None:
-            exchange.reply_problem(503, why, extra=(("foxlift-refusal", why), *self._load_header()))
+        if not self._has_room(exchange, now):
             return
         session, _ = model.parked.pop(set_up)
         session.last_seen, session.told_ms, session.finished = now, 0, False
--- a/tests/test_export.py
+++ b/tests/test_export.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import pytest
+from exporting import JAN, Exporting
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from memory import MemoryFiles
@@ -15,11 +16,8 @@
 from foxlift.ledger import Journal, Started, read_records
 from foxlift.ledger import export as ex
 from foxlift.ledger.records import Batched
-from foxlift.ledger.tariff import period_start
 from foxlift.standins.receiver import Receiver
 
-JAN = period_start("2026-01")
-
 
 class Model:
     """A receiver without sockets, and a ledger whose process dies on command."""
@@ -33,9 +31,7 @@
 
     def start(self) -> None:
         self.journal = Journal(self.files)
-        self.exporter = ex.Exporter(self.journal.standing, most=3)
-        self.out: list[ex.Action] = []
-        self.carry(self.exporter.begin(JAN))
+        self.run = Exporting(self.files, self.journal, most=3)
 
     def die(self) -> None:
         self.files = MemoryFiles(self.files.data)
@@ -45,41 +41,22 @@
         self.count += 1
         self.journal.handle(JAN, Started(JAN, f"s{self.count}", f"t{self.count}", "n", "g", 0, True))
 
-    def lines(self, first: int, last: int) -> bytes:
-        return ex.lines_of([(n, r) for n, r in read_records(self.files) if first <= n <= last])
-
-    def carry(self, actions: list[ex.Action]) -> None:
-        for action in actions:
-            if isinstance(action, ex.Write):
-                self.journal.write(action.record, lambda: self.tell(ex.Durable()))
-            else:
-                self.out.append(action)
-
-    def tell(self, event: ex.Event) -> None:
-        self.carry(self.exporter.handle(JAN, event))
-
-    def due(self) -> None:
-        span = self.exporter.cut(self.journal.last_billed)
-        if span is not None:
-            content = ex.content_of(self.lines(*span))
-            self.carry(self.exporter.handle(JAN, ex.Due(self.journal.last_billed), content))
-
     def step(self, how: str) -> None:
         """What becomes of the next thing that is out."""
-        if not self.out:
+        if not self.run.out:
             return
-        action = self.out.pop(0)
+        action = self.run.out.pop(0)
         if isinstance(action, ex.RetryLater):
-            self.tell(ex.RetryDue())
+            self.run.tell(ex.RetryDue())
         elif isinstance(action, ex.Deliver):
             if how != "cut off":
                 assert action.exporter >= self.highest
                 self.highest = action.exporter
-                self.kept.setdefault(action.batch, self.lines(action.first, action.last))
+                self.kept.setdefault(action.batch, self.run.lines(action.first, action.last))
             if how == "received":
-                self.tell(ex.Accepted(action.batch, ex.content_of(self.kept[action.batch])))
+                self.run.tell(ex.Accepted(action.batch, ex.content_of(self.kept[action.batch])))
             else:
-                self.tell(ex.Lost())
+                self.run.tell(ex.Lost())
 
 
 @given(st.lists(st.sampled_from(["bill", "due", "received", "cut off", "answer lost", "die"]), max_size=60))
@@ -91,13 +68,13 @@
             case "bill":
                 model.bill()
             case "due":
-                model.due()
+                model.run.due()
             case "die":
                 model.die()
             case _:
                 model.step(word)
     for _ in range(200):  # and then all goes well
-        model.due()
+        model.run.due()
         model.step("received")
     numbers = [n for batch in sorted(model.kept) for n, _ in ex.read_lines(model.kept[batch])]
     assert numbers == sorted(set(numbers))
@@ -110,7 +87,7 @@
     model = Model()
     model.bill()
     for _ in range(20):
-        model.due()
+        model.run.due()
         model.step("received")
     assert len(model.kept) == 1
 
@@ -118,25 +95,25 @@
 def test_a_receiver_that_holds_something_else_stops_the_exports() -> None:
     model = Model()
     model.bill()
-    model.due()
-    (sent,) = model.out
+    model.run.due()
+    (sent,) = model.run.out
     assert isinstance(sent, ex.Deliver)
-    assert model.exporter.handle(JAN, ex.Accepted(sent.batch + 5, "other")) == []
-    (stop,) = model.exporter.handle(JAN, ex.Accepted(sent.batch, "other"))
+    assert model.run.exporter.handle(JAN, ex.Accepted(sent.batch + 5, "other")) == []
+    (stop,) = model.run.exporter.handle(JAN, ex.Accepted(sent.batch, "other"))
     assert stop == ex.Stop("the receiver holds another batch 1")
-    assert model.exporter.handle(JAN, ex.Due(9)) == []
+    assert model.run.exporter.handle(JAN, ex.Due(9)) == []
 
 
 def test_waits_between_deliveries_double_up_to_a_bound() -> None:
     model = Model()
     model.bill()
-    model.due()
+    model.run.due()
     waits = []
     for _ in range(10):
-        model.tell(ex.Lost())
-        waits += [a.delay_ms for a in model.out if isinstance(a, ex.RetryLater)]
-        model.out.clear()
-        model.tell(ex.RetryDue())
+        model.run.tell(ex.Lost())
+        waits += [a.delay_ms for a in model.run.out if isinstance(a, ex.RetryLater)]
+        model.run.out.clear()
+        model.run.tell(ex.RetryDue())
     assert waits[:3] == [500.0, 1000.0, 2000.0]
     assert max(waits) == waits[-1] == 32_000.0
 
--- a/tests/test_whole_ledger.py
+++ b/tests/test_whole_ledger.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Any
 
+from exporting import JAN, Exporting
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
@@ -13,12 +14,9 @@
 
 from foxlift.ledger import Ended, ForgetDue, Journal, Ran, Rerung, Started, TimeCame
 from foxlift.ledger import export as ex
-from foxlift.ledger import read_records as read_ledger
 from foxlift.ledger.reconcile import Reconciled, Reconciler
 from foxlift.ledger.sources import Chained, batches_of, missing_batches, read_batches
-from foxlift.ledger.tariff import period_start
 
-JAN = period_start("2026-01")
 HOUR = 3_600_000
 
 
@@ -33,47 +31,26 @@
 
     def begin(self) -> None:
         self.journal = Journal(self.files, None, HOUR, segment_bytes=700, snapshot_every=6)
-        self.exporter = ex.Exporter(self.journal.standing, most=4)
-        self.out: list[ex.Action] = []
-        self.carry(self.exporter.begin(JAN))
+        self.run = Exporting(self.files, self.journal, most=4)
 
     def die(self) -> None:
         self.files = MemoryFiles(self.files.data)
         self.playing.clear()
         self.begin()
 
-    def lines(self, first: int, last: int) -> bytes:
-        return ex.lines_of([(n, r) for n, r in read_ledger(self.files, first - 1) if n <= last])
-
-    def carry(self, actions: list[ex.Action]) -> None:
-        for action in actions:
-            if isinstance(action, ex.Write):
-                self.journal.write(action.record, lambda: self.tell(ex.Durable()))
-            else:
-                self.out.append(action)
-
-    def tell(self, event: ex.Event) -> None:
-        self.carry(self.exporter.handle(JAN, event))
-
-    def due(self) -> None:
-        last = self.journal.last_billed
-        span = self.exporter.cut(last)
-        if span is not None:
-            self.carry(self.exporter.handle(JAN, ex.Due(last), ex.content_of(self.lines(*span))))
-
     def deliver(self, how: str) -> None:
         """What becomes of the next thing that is out."""
-        if not self.out:
+        if not self.run.out:
             return
-        action = self.out.pop(0)
+        action = self.run.out.pop(0)
         if isinstance(action, ex.RetryLater):
-            self.tell(ex.RetryDue())
+            self.run.tell(ex.RetryDue())
         elif isinstance(action, ex.Deliver):
             file = f"{self.name}-{action.batch:09d}.jsonl"
             if how != "cut off":
-                self.drop.setdefault(file, self.lines(action.first, action.last))
+                self.drop.setdefault(file, self.run.lines(action.first, action.last))
             received = ex.Accepted(action.batch, ex.content_of(self.drop.get(file, b"")))
-            self.tell(received if how == "received" else ex.Lost())
+            self.run.tell(received if how == "received" else ex.Lost())
 
 
 class WholeLedger(RuleBasedStateMachine):
@@ -134,7 +111,7 @@
 
     @rule(which=directors_drawn, how=st.sampled_from(["received", "cut off", "answer lost"]))
     def export(self, which: int, how: str) -> None:
-        self.directors[which].due()
+        self.directors[which].run.due()
         self.directors[which].deliver(how)
 
     def merged(self, drops: list[dict[str, bytes]]) -> tuple[Reconciled, list[Any]]:
@@ -167,7 +144,7 @@
                 self.certain += self.now - begun
             director.playing.clear()
             for _ in range(400):
-                director.due()
+                director.run.due()
                 director.deliver("received")
                 if director.journal.standing.last >= director.journal.last_billed:
                     break
