--- a/foxlift/standins/box.py
+++ b/foxlift/standins/box.py
@@ -293,12 +293,22 @@
             return
         stream = exchange.start_stream(part.status, headers, len(part.body))
         session.streams += 1
-        self._piece(exchange, stream, session, part.body, 0)
+        self._piece(exchange, stream, session, part.body, 0, session.rate_kb)
 
     def _piece(
-        self, exchange: Exchange, stream: StreamOut, session: BoxSession, body: bytes, at: int
+        self,
+        exchange: Exchange,
+        stream: StreamOut,
+        session: BoxSession,
+        body: bytes,
+        at: int,
+        begun_kb: float,
     ) -> None:
-        """Send the next part when the session's rate and the link would have carried it."""
+        """Send the next part when the session's rate and the link would have carried it.
+
+        What was begun goes on at the rate at which it was begun: at that of a rung several lower, the rest of
+        a segment took longer than any buffer, though its player would come down with the next one.
+        """
         if exchange.gone or self.model.sessions.get(session.set_up) is not session:
             session.streams -= 1
             exchange.abort()
@@ -308,12 +318,12 @@
             session.streams -= 1
             stream.finish()
             return
-        rate = session.rate_kb * 1000 * self.scale * self.model.speed
+        rate = max(session.rate_kb, begun_kb) * 1000 * self.scale * self.model.speed
         size = max(min(int(rate * PIECE_S), PIECE_BYTES), 1)
         piece = body[at : at + size]
         stream.write(piece)
         wait = session.wait(now, len(piece), rate)
-        self._later(wait, lambda: self._piece(exchange, stream, session, body, at + size))
+        self._later(wait, lambda: self._piece(exchange, stream, session, body, at + size, begun_kb))
 
     # ---- Notices ------------------------------------------------------------------------------------------
     def _notices(self, exchange: Exchange) -> None:
