--- a/foxlift/http/cors.py
+++ b/foxlift/http/cors.py
@@ -65,6 +65,11 @@
         # without Vary a shared cache would hand one origin's answer to another
         return self._headers(origin) if origin in self._origins else (("vary", "Origin"),)
 
+    @property
+    def lets_in_any(self) -> bool:
+        """Whether answers are the same for every origin."""
+        return self._any
+
     def lets_in(self, origin: str) -> bool:
         """Whether a page of this origin may read answers."""
         return self._any or origin in self._origins
--- a/foxlift/http/server.py
+++ b/foxlift/http/server.py
@@ -435,6 +435,9 @@
         """`cors`: who of other origins is let in, and OPTIONS answered here; `always`: on every answer."""
         self.loop, self.handler, self.limits = loop, handler, limits
         self.cors, self._always = cors, always
+        # where any origin is let in, the same for every request
+        same = cors is None or cors.lets_in_any
+        self._shared = always + (() if cors is None else cors.headers({})) if same else None
         # a whole answer to a whole request whose bytes are known, without reading it again
         self.ready: Callable[[bytes], bytes | None] = lambda data: None
         self.connections: set[_Connection] = set()
@@ -466,7 +469,9 @@
 
     def shared_headers(self, request: Request) -> Headers:
         """What every answer to this request carries."""
-        return self._always if self.cors is None else self._always + self.cors.headers(request.headers)
+        if self._shared is not None or self.cors is None:
+            return self._shared or ()
+        return self._always + self.cors.headers(request.headers)
 
     def add(self, connection: _Connection) -> bool:
         if len(self.connections) >= self.limits.max_connections:
