--- a/foxlift/standins/player.py
+++ b/foxlift/standins/player.py
@@ -97,13 +97,13 @@
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
 
-    async def get(self, target: str, fields: str = "") -> tuple[int, dict[str, str], bytes]:
+    async def get(self, target: str) -> tuple[int, dict[str, str], bytes]:
         if self._writer is None:
             self._reader, self._writer = await asyncio.open_connection(self.host, self.port)
         assert self._reader is not None
         try:
             host = f"{self.host}:{self.port}"
-            self._writer.write(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n{fields}\r\n".encode())
+            self._writer.write(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
             head = await self._reader.readuntil(b"\r\n\r\n")
             lines = head.decode("latin-1").split("\r\n")
             headers = {k.lower(): v.strip() for k, _, v in (line.partition(":") for line in lines[1:])}
