A parked session's place is kept with its token's claim, and forgotten with it

Found on reading the change again: the director's core kept places of parked sessions by token beside the claims, and never dropped those whose viewers did not come back. The claim holds the place now; one state less. Tested: claims stay bounded, and a token past its park but not past its end never looks new.

--- a/foxlift/decide/claims.py
+++ b/foxlift/decide/claims.py
@@ -58,6 +58,15 @@
     FLOOD = "too many requests wait on this token"
 
 
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where a paid session is parked: its box, its set-up there, and the token of its segments' path."""
+
+    node: int
+    set_up: str
+    path_token: str
+
+
 # ---- Events -----------------------------------------------------------------------------------------------
 @dataclass(frozen=True, slots=True)
 class Requested:
@@ -112,6 +121,7 @@
 
     session: int
     until: float
+    place: Place
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,11 +146,11 @@
 # ---- Actions ----------------------------------------------------------------------------------------------
 @dataclass(frozen=True, slots=True)
 class Open:
-    """Ask the module for a session on behalf of this request; `again`: take the parked set-up up."""
+    """Ask the module for a session on behalf of this request; `place`: take the set-up parked there up."""
 
     session: int
     request: int
-    again: bool = False
+    place: Place | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,6 +205,7 @@
     waiting: list[int] = field(default_factory=list)
     played: bool = False
     parked_until: float = 0.0  # above 0: what it asks for is taken up again, not set up
+    place: Place | None = None  # where; forgotten with the claim
 
 
 class Claims:
@@ -231,7 +242,8 @@
                 return self._refused(claim)
             case Failed():
                 return self._failed(claim)
-            case Parked(_, until):
+            case Parked(_, until, place):
+                claim.place = place
                 self._park(claim, until)
             case Lapsed():
                 return self._lapsed(claim)
@@ -279,7 +291,7 @@
         claim.session, claim.state, claim.waiting = self._last_session, _State.ASKED, [request]
         self._by_session[claim.session] = claim
         self._by_request[request] = claim
-        return [Open(claim.session, request, again=True)]
+        return [Open(claim.session, request, claim.place)]
 
     def _open(self, event: Requested) -> list[Action]:
         self._last_session += 1
@@ -310,6 +322,7 @@
         if claim.state is not _State.ASKED:
             return []  # its viewer left while the answer was on its way
         claim.state, claim.played, claim.parked_until = _State.PLAYING, True, 0.0
+        claim.place = None
         return [Show(request, claim.session) for request in self._release(claim)]
 
     def _refused(self, claim: _Claim) -> list[Action]:
@@ -358,7 +371,7 @@
         if not claim.paid:
             self._drop(claim)
             return
-        claim.state = _State.SPENT
+        claim.state, claim.place = _State.SPENT, None
         self._by_session.pop(claim.session, None)
         heapq.heappush(self._spent, (claim.expires, claim.token))
 
--- a/foxlift/director/core.py
+++ b/foxlift/director/core.py
@@ -67,7 +67,6 @@
         self.links: dict[int, ln.Link] = {}
         self.boxes: dict[int, BoxEntry] = {}
         self.sessions: dict[int, ev.Session] = {}
-        self._places: dict[str, ev.Place] = {}  # of parked sessions, by token
         self._secret, self._trace = secret, trace
         self._classes = {klass.name: k for k, klass in enumerate(self.settings.classes)}
         self._tenants = {tenant.name: k for k, tenant in enumerate(self.settings.tenants)}
@@ -149,27 +148,24 @@
     def _claim(self, event: cl.Event) -> None:
         for action in self.claims.handle(self._now / 1000, event):
             match action:
-                case cl.Open(session, request, again):
-                    self._open(session, self._asked[request], again)
+                case cl.Open(session, request, place):
+                    self._open(session, self._asked[request], place)
                 case cl.Show(request, session):
                     self._out.append(ev.ShowManifest(request, self.sessions[session]))
                 case cl.TellFailed(request, session):
                     self._out.append(ev.AnswerFailed(request, session))
                 case cl.TurnDown(request, why):
-                    if why is cl.Why.PLAYED and request in self._asked:
-                        self._places.pop(self._asked[request].token.id, None)
                     self._out.append(ev.AnswerDown(request, why))
                 case cl.Withdraw(session):
                     self._withdraw(session)
                 case cl.TellRefused():
                     raise AssertionError("refusals are told by _refuse")
 
-    def _open(self, number: int, asked: ev.ManifestAsked, again: bool) -> None:
+    def _open(self, number: int, asked: ev.ManifestAsked, place: cl.Place | None) -> None:
         token, title = asked.token, asked.title
         klass = self._classes[token.klass]
         terms = self.settings.classes[klass]
         best = terms.top if token.best_rung is None else min(token.best_rung, terms.top)
-        place = self._places[token.id] if again else None
         session = ev.Session(
             number,
             token,
@@ -219,7 +215,6 @@
         session = self.sessions.get(number)
         if session is None:
             return
-        self._places.pop(session.token.id, None)
         self._claim(cl.Lapsed(number))
         if self.attempts.holds(number):
             session.withdrawn = True  # its attempt ends with the answer that told this
@@ -388,9 +383,7 @@
         session = self.sessions[told.session]
         ran = told.playing or not told.outcome.proves_unrun
         set_up = told.set_up
-        if told.parked and session.paid:
-            self._places[session.token.id] = ev.Place(told.node, set_up, session.path_token)
-        elif session.paid and (session.place is None or told.playing):
+        if session.paid and not told.parked and (session.place is None or told.playing):
             verdict = Verdict.ENDED if told.playing else Verdict.MAY_HAVE_RUN if ran else Verdict.NEVER_RAN
             self._out.append(ev.SettleIntent(session.token.id, verdict))
         if told.playing:
@@ -411,7 +404,7 @@
             session.over = True
             self._out.append(ev.SessionOver(session))
             until = self._now / 1000 + self.config.boxes.park_s
-            self._claim(cl.Parked(session.number, until))
+            self._claim(cl.Parked(session.number, until, cl.Place(told.node, set_up, session.path_token)))
         elif final:
             self._over(session, ran)
         self._tell(fl.Ended(told.session, told.node, told.attempt, told.outcome, final, 0.0, told.load))
--- a/foxlift/director/events.py
+++ b/foxlift/director/events.py
@@ -99,15 +99,6 @@
 
 
 # ---- Out --------------------------------------------------------------------------------------------------
-@dataclass(frozen=True, slots=True)
-class Place:
-    """Where a paid session is parked: its box, its set-up there, and the token of its segments' path."""
-
-    node: int
-    set_up: str
-    path_token: str
-
-
 @dataclass(slots=True)
 class Session:
     """What the director keeps of a session while it is asked for or plays."""
@@ -118,7 +109,7 @@
     klass: int
     paid: bool
     path_token: str
-    place: Place | None = None  # where it was parked, if it is to be taken up again
+    place: claims.Place | None = None  # where it was parked, if it is to be taken up again
     top: int = 0  # the highest rung that it may ever have
     rung: int = 0
     node: int = 0
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -406,3 +406,36 @@
 
 def kinds_of(actions: list[ln.Action], kind: type) -> int:
     return sum(isinstance(action, kind) for action in actions)
+
+
+def test_parked_sessions_are_forgotten_with_their_tokens_and_never_before() -> None:
+    made = cl.Claims()
+    for k in range(500):
+        token, now = f"t{k}", float(k)
+        (opened,) = made.handle(now, cl.Requested(k, token, True, now + 100.0, False))
+        assert isinstance(opened, cl.Open) and opened.place is None
+        made.handle(now, cl.Plays(opened.session))
+        made.handle(now, cl.Parked(opened.session, now + 30.0, cl.Place(1, f"s{k}", "p")))
+        assert len(made) <= 101
+    # past its park but not past its token: it must not look like a new one, or it would be set up again
+    assert made.handle(540.0, cl.Requested(900, "t499", True, 599.0, False)) == [
+        cl.TurnDown(900, cl.Why.PLAYED)
+    ]
+    made.handle(700.0, cl.HungUp(0))
+    assert len(made) == 0
+
+
+def test_what_is_taken_up_names_its_place_until_it_plays() -> None:
+    made, place = cl.Claims(), cl.Place(3, "s1", "p")
+    (opened,) = made.handle(0.0, cl.Requested(1, "t", True, 100.0, False))
+    assert isinstance(opened, cl.Open)
+    made.handle(0.0, cl.Plays(opened.session))
+    made.handle(1.0, cl.Parked(opened.session, 50.0, place))
+    for end in (cl.Refused, cl.Failed):
+        (again,) = made.handle(2.0, cl.Requested(2, "t", True, 100.0, True))  # expired meanwhile
+        assert isinstance(again, cl.Open) and again.place == place
+        assert len(made.handle(2.0, end(again.session))) == 1  # told, and nothing is spent
+    (again,) = made.handle(3.0, cl.Requested(3, "t", True, 100.0, False))
+    assert isinstance(again, cl.Open) and again.place == place
+    assert made.handle(3.0, cl.Plays(again.session)) == [cl.Show(3, again.session)]
+    assert made.playing("t") == again.session
