--- a/bench/world.py
+++ b/bench/world.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from foxlift.config import load_director
-from foxlift.director import Daemon
+from foxlift.director.daemon import Daemon
 from foxlift.rehearsal import Scenario, built_in, files
 from foxlift.standins.fleet import Fleet
 from foxlift.tokens import Issuer, SessionToken
--- a/foxlift/cli/main.py
+++ b/foxlift/cli/main.py
@@ -27,7 +27,7 @@
 from foxlift.catalogue import load_catalogue, misfits
 from foxlift.cli.ledger import ledger
 from foxlift.config import ConfigError, load_director, module_settings
-from foxlift.director import Daemon
+from foxlift.director.daemon import Daemon
 from foxlift.ledger import load_tariff
 from foxlift.rehearsal import built_in, load_scenario, print_report, run_day
 from foxlift.rehearsal.processes import ChildError
--- a/foxlift/decide/attempts.py
+++ b/foxlift/decide/attempts.py
@@ -3,6 +3,7 @@
     state      event                       next       the module is told; what is done
     (none)     Send, paid                  INTENT     write the intent first
     (none)     Send, free                  SENT       put
+    (none)     Resumes                     PLAYING
     INTENT     IntentDurable               SENT       put, unless the box drains by now or the time is up
     INTENT     IntentFailed, CallOff       (none)     NEVER_SENT: nothing has left this director
     SENT       Answered 201                PLAYING    Started
@@ -134,6 +135,16 @@
     outcome: fl.Outcome
     when: int = 0
     parked: bool = False
+    load: fl.Load | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Resumes:
+    """A session that plays at a box as attempt 0, handed over from an earlier run of this director."""
+
+    session: int
+    node: int
+    rung: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -188,6 +199,7 @@
     | CallOff
     | Rung
     | EndedAtBox
+    | Resumes
     | BoxLost
     | Drains
     | Serves
@@ -316,6 +328,9 @@
                 return self._drains(event)
             case BoxLost():
                 return self._box_lost(event)
+            case Resumes():
+                self._resumes(event)
+                return []
             case CallOff(session):
                 return self._call_off(session)
             case Rung():
@@ -343,7 +358,7 @@
             case EndedAtBox():
                 if found.state is not _State.PLAYING:
                     return []
-                return self._end(found, event.outcome, when=event.when, parked=event.parked)
+                return self._end(found, event.outcome, event.load, when=event.when, parked=event.parked)
 
     # ---- What is known ------------------------------------------------------------------------------------
     def set_up_id(self, session: int, attempt: int) -> str:
@@ -375,6 +390,10 @@
         """Whether an attempt of the session is out or plays."""
         return session in self._live
 
+    def until(self, session: int) -> float:
+        """When the attempt that is out times out, ms on the module's clock."""
+        return self._live[session].until
+
     @property
     def live(self) -> int:
         return len(self._live)
@@ -402,6 +421,13 @@
         made.sent_rung = event.rung
         return [Put(event.session, event.attempt, event.node, event.rung, event.until)]
 
+    def _resumes(self, event: Resumes) -> None:
+        if event.session in self._live:
+            raise RuntimeError(f"session {event.session} is known already")
+        made = _Attempt(event.session, 0, event.node, event.rung, False, 0.0, _State.PLAYING)
+        self._live[event.session] = made
+        self._by_node.setdefault(event.node, set()).add(event.session)
+
     def _durable(self, now: float, found: _Attempt) -> list[Action]:
         if found.state is not _State.INTENT:
             return []
--- a/foxlift/director/__init__.py
+++ b/foxlift/director/__init__.py
@@ -1,6 +1,4 @@
-"""The running director: protocol events in, the module's actions out."""
+"""The running director: protocol events in, the module's actions out.
 
-from foxlift.director.core import Core
-from foxlift.director.daemon import Daemon
-
-__all__ = ["Core", "Daemon"]
+Nothing is imported here: the platform's director takes the clock alone, in a small memory.
+"""
--- /dev/null
+++ b/foxlift/platform/__main__.py
@@ -0,0 +1,58 @@
+"""Runs one director as the platform starts it: `python -m foxlift.platform`."""
+
+from __future__ import annotations
+
+import signal
+
+# a reload or a stop may be asked for as soon as the process is there
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import asyncio  # noqa: E402
+import gc  # noqa: E402
+import os  # noqa: E402
+import sys  # noqa: E402
+
+import uvloop  # noqa: E402
+
+from foxlift.platform.settings import ConfigError, read  # noqa: E402
+from foxlift.platform.transport import PlatformDirector  # noqa: E402
+
+
+async def serve(path: str) -> int:
+    """Serve until told to stop; the exit code."""
+    try:
+        with open(path, "rb") as file:
+            config = read(file.read())
+    except (OSError, ConfigError) as error:
+        print(f"foxlift: configuration: {error}", file=sys.stderr)
+        return 2
+    loop = asyncio.get_running_loop()
+    director = PlatformDirector(config, path, loop)
+    loop.set_exception_handler(lambda _, context: director.guard(context))
+    loop.add_signal_handler(signal.SIGHUP, director.reload)
+    loop.add_signal_handler(signal.SIGTERM, director.stop)
+    try:
+        await director.start()
+    except OSError as error:
+        print(f"foxlift: listen: {error}", file=sys.stderr)
+        return 2
+    # what is there by now stays: no collection needs to look at it again
+    gc.collect()
+    gc.freeze()
+    director.log.say("serving", f"{config.name}, {len(director.core.sizes())} tables")
+    await director.ended
+    director.log.say("ended", director.last_line())
+    return 0
+
+
+def main() -> int:
+    """Read BALANCER_CONFIG and serve."""
+    path = os.environ.get("BALANCER_CONFIG")
+    if not path:
+        print("foxlift: BALANCER_CONFIG is not set", file=sys.stderr)
+        return 2
+    return uvloop.run(serve(path))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/foxlift/platform/core.py
@@ -0,0 +1,607 @@
+"""One director on the platform without its sockets: messages in, messages and timers out.
+
+Nothing of who plays where is decided here: the module (`foxlift/logic.py`) is told each event in the order in
+which it came and what it returns is carried out. `foxlift.decide.attempts` keeps the life of each attempt;
+its record of intents is off, since no disk of a platform director outlives it.
+
+    session   event                             next      the viewer is told
+    (none)    START that makes sense            ASKED     nothing yet
+    (none)    START with `at`                   STANDS    nothing
+    ASKED     the box's own whole 200           STANDS    STARTED with the box's description
+    ASKED     the module refuses or fails it    (none)    FINISH, with a time to come back where allowed
+    ASKED     FINISH, or the connection closes  LEFT      FINISHED, where there is someone to tell
+    LEFT      its attempt ends                  (none)    nothing
+    STANDS    the box releases it, or is lost   (none)    FINISH; nothing where its viewer ended it
+    STANDS    FINISH                            (none)    FINISHED
+
+Ids are 16 hex digits outside and small numbers inside; both are forgotten as soon as nothing is owed on
+either side. Boxes are known by the number the list gives them, never by address.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from foxlift import interface as fl
+from foxlift.decide import attempts as at
+from foxlift.logic import Director
+from foxlift.platform import events as ev
+from foxlift.platform import rtsp, viewers
+from foxlift.platform.settings import Address, Config, Told
+from foxlift.wiresettings import LOAD_FIELDS
+
+REFUSED, FAILED, NORMAL, CUT, SENSELESS = 34, 41, 16, 41, 96  # causes of FINISH
+MOVED = 31  # cause of a release at a box whose viewer is not owed one
+HANDOVER_MS = 3000.0  # how long a handed-over session waits for the list to name its box
+MAX_HANDOVERS = 4096  # of those at once
+
+_REFUSALS = {453: fl.Outcome.FULL, 454: fl.Outcome.NEVER_SENT, 504: fl.Outcome.RESET}  # others: ERROR
+_RELEASES = {16: fl.Outcome.OK, 31: fl.Outcome.CANCELLED}  # others: RESET
+_NOTES = {
+    "delivered": fl.NoteKind.DELIVERED,
+    "rung": fl.NoteKind.RUNG,
+    "link": fl.NoteKind.LINK,
+    "uplink": fl.NoteKind.UPLINK,
+}
+
+
+class _State(Enum):
+    ASKED = "asked"
+    LEFT = "left"
+    STANDS = "stands"
+
+
+@dataclass(slots=True)
+class _Session:
+    number: int
+    tag: str
+    conn: int  # of its viewer
+    klass: int
+    title: str
+    description: str  # empty once it stands
+    state: _State
+    rung: int = 0
+    attempts: int = 0  # made so far
+    node: int = 0  # of the attempt that is out or plays
+    box_conn: int = 0  # that the attempt left on; 0: it has not left
+    sent_at: float = 0.0
+    stands_since: float = 0.0
+
+
+class Core:
+    """A director. `make` and `trace` are for tests."""
+
+    def __init__(
+        self,
+        config: Config,
+        make: Callable[[fl.Settings, int], Director] = Director,
+        trace: Callable[[float, fl.Event, list[fl.Action]], None] | None = None,
+    ) -> None:
+        self.settings = config.module
+        self.module = make(config.module, config.seed)
+        self.attempts = at.Attempts("")
+        self.sessions: dict[int, _Session] = {}
+        self.counts: Counter[str] = Counter()  # what happened how often; for the last line and for tests
+        self.listed = False  # whether a whole list was heard
+        self._trace = trace
+        self._classes, self._tenants = config.class_names, config.tenant_names
+        self._columns = config.columns
+        self._by_tag: dict[str, _Session] = {}
+        self._by_conn: dict[int, set[int]] = {}  # open set-ups of a viewer's connection
+        self._handovers: dict[str, tuple[int, viewers.Start]] = {}  # by id: box is not on the list yet
+        self._boxes: dict[int, fl.NodeInfo] = {}
+        self._addresses: dict[int, Address] = {}
+        self._standing: Counter[int] = Counter()
+        self._last = 0
+        self._now = 0.0
+        self._out: list[ev.Action] = []
+        self._told: deque[fl.Event] = deque()  # what the module is still to be told, in order
+
+    # ---- What is known ------------------------------------------------------------------------------------
+    @property
+    def unanswered(self) -> int:
+        """Set-ups taken and not answered."""
+        return sum(len(numbers) for numbers in self._by_conn.values())
+
+    def sizes(self) -> dict[str, int]:
+        """Entries in each table."""
+        return {
+            "sessions": len(self.sessions),
+            "ids": len(self._by_tag),
+            "connections": len(self._by_conn),
+            "handovers": len(self._handovers),
+            "boxes": len(self._boxes),
+            "attempts": self.attempts.live,
+            "ghosts": self.attempts.ghosts,
+            "module sessions": len(self.module.sessions),
+            "module boxes": len(self.module.nodes),
+        }
+
+    def believed(self) -> dict[int, tuple[int, int]]:
+        """For each box: sessions that play there, set-ups that are out."""
+        out = Counter(s.node for s in self.sessions.values() if s.state is not _State.STANDS and s.node)
+        return {node: (self._standing[node], out[node]) for node in {*self._standing, *out}}
+
+    # ---- Events -------------------------------------------------------------------------------------------
+    def handle(self, now: float, event: ev.Event) -> list[ev.Action]:
+        """Take one event in. `now` is Unix time in ms as the module's clock keeps it: it never steps back."""
+        self._now, self._out = now, []
+        match event:
+            case ev.FromBox():
+                self._from_box(event)
+            case ev.FromViewer():
+                self._from_viewer(event)
+            case ev.AttemptDue(number, attempt):
+                self._attempt_due(number, attempt)
+            case fl.Wake():
+                self._tell(event)
+            case ev.ViewerGone(conn):
+                self._viewer_gone(conn)
+            case ev.BoxConnectionLost(node, conn, spoilt):
+                self._box_connection_lost(node, conn, spoilt)
+            case ev.Unreached(number):
+                self._lost(number, at.Loss.CONNECT)
+            case ev.BoxLost(node, why):
+                self.counts["box lost, " + why] += 1
+                self._attempt(at.BoxLost(node))
+            case ev.HandoverDue(tag):
+                found = self._handovers.pop(tag, None)
+                if found is not None:
+                    self.counts["handover without a box"] += 1
+                    self._out.append(ev.ToViewer(found[0], viewers.finish(tag, CUT), anywhere=True))
+            case ev.Listed(told, cached):
+                self._list(told, cached)
+        return self._out
+
+    def take(self, now: float, number: int, conn: int) -> bytes | None:
+        """A connection is there: the set-up's bytes, or None where it is not to leave any more."""
+        self._now = now
+        session = self.sessions.get(number)
+        if session is None or session.state is not _State.ASKED or not self.attempts.holds(number):
+            return None
+        session.box_conn, session.sent_at = conn, now
+        within = max(self.attempts.until(number) - now, 1.0)
+        klass = self.settings.classes[session.klass].name
+        body = session.description.encode()
+        return rtsp.set_up(session.tag, session.title, klass, session.rung, int(within), body)
+
+    # ---- Viewers ------------------------------------------------------------------------------------------
+    def _from_viewer(self, event: ev.FromViewer) -> None:
+        conn, message = event.conn, event.message
+        match message:
+            case viewers.Start():
+                self._start(conn, message, event.waited_ms)
+            case viewers.Finish(tag, cause):
+                self._finish(conn, tag, cause)
+            case viewers.Echo(tag):
+                self._out.append(ev.ToViewer(conn, viewers.echoed(tag, self.listed)))
+            case viewers.Senseless(tag, _):
+                self.counts["senseless"] += 1
+                self._turn_down(conn, tag)
+
+    def _turn_down(self, conn: int, tag: str) -> None:
+        """An error for what can't be served; its id may be that of another's session, which keeps its own."""
+        held = self._by_tag.get(tag)
+        if held is None or held.conn != conn:
+            self._out.append(ev.ToViewer(conn, viewers.finish(tag, SENSELESS)))
+            return
+        # the same connection says two things under one id: neither can be trusted, and both get one answer
+        if held.state is _State.STANDS:
+            self._end_standing(held)
+        else:
+            self._withdraw(held)
+        self._out.append(ev.ToViewer(conn, viewers.finish(tag, SENSELESS)))
+
+    def _start(self, conn: int, start: viewers.Start, waited_ms: float) -> None:
+        klass = self._classes.get(start.klass)
+        tenant = self._tenants.get(start.tenant, -1 if self._tenants else 0)
+        if klass is None or tenant < 0 or start.holders < 1 or start.first_cell >= self.settings.cells:
+            self.counts["senseless"] += 1
+            if start.plays_at is None:
+                self._turn_down(conn, start.tag)
+            return
+        held = self._by_tag.get(start.tag)
+        if start.plays_at is not None:
+            if held is None and start.tag not in self._handovers:
+                self._hand_over(conn, start, start.plays_at)
+            return
+        if held is not None:
+            same = held.state is _State.ASKED and held.description == start.description
+            self.counts["id in use"] += 1
+            if not (same and held.conn == conn):  # sent twice: its first is answered
+                self._turn_down(conn, start.tag)
+            return
+        self._last += 1
+        session = _Session(
+            self._last, start.tag, conn, klass, start.title, start.description, _State.ASKED
+        )
+        self.sessions[session.number] = self._by_tag[start.tag] = session
+        self._by_conn.setdefault(conn, set()).add(session.number)
+        self._out.append(ev.ViewerSessions(conn, 1))
+        self.counts["asked"] += 1
+        self._tell(self._ask(session.number, start, klass, tenant, max(start.left_ms - waited_ms, 0.0)))
+
+    def _ask(self, number: int, start: viewers.Start, klass: int, tenant: int, ttl_ms: float) -> fl.Ask:
+        rungs = len(self.settings.ladder_kb)
+        return fl.Ask(
+            session=number,
+            klass=klass,
+            title=int(start.title, 16),
+            first_cell=start.first_cell,
+            holders=start.holders,
+            best_rung=min(start.top, rungs - 1),
+            ttl_ms=ttl_ms,
+            tenant=tenant,
+            viewer=start.viewer,
+            length_ms=start.hint_ms,
+            again=start.again,
+        )
+
+    def _hand_over(self, conn: int, start: viewers.Start, node: int) -> None:
+        if node not in self._boxes:
+            if len(self._handovers) < MAX_HANDOVERS:
+                self._handovers[start.tag] = conn, start
+                self._out.append(ev.StartTimer(HANDOVER_MS, ev.HandoverDue(start.tag)))
+            return
+        klass = self._classes[start.klass]
+        tenant = self._tenants.get(start.tenant, 0)
+        self._last += 1
+        session = _Session(self._last, start.tag, conn, klass, start.title, "", _State.STANDS)
+        session.node, session.attempts, session.rung = node, 1, self.settings.classes[klass].floor
+        session.stands_since = self._now
+        self.sessions[session.number] = self._by_tag[start.tag] = session
+        self.counts["handed over"] += 1
+        self._out.append(ev.ViewerSessions(conn, 1))
+        self._attempt(at.Resumes(session.number, node, session.rung))
+        self._stands(node, 1)
+        self._tell(fl.Resumed(self._ask(session.number, start, klass, tenant, 0.0), node))
+
+    def _finish(self, conn: int, tag: str, cause: int) -> None:
+        session = self._by_tag.get(tag)
+        self._handovers.pop(tag, None)
+        self._out.append(ev.ToViewer(conn, viewers.finished(tag)))
+        if session is None:
+            self.counts["release of an unknown id"] += 1
+        elif session.state is _State.STANDS:
+            self.counts["ended by viewer"] += 1
+            self._end_standing(session)
+        else:
+            self.counts["given up"] += 1
+            self._withdraw(session)
+
+    def _end_standing(self, session: _Session) -> None:
+        """Its viewer wants no more: the box is told, and the viewer is owed nothing."""
+        self._attempt(at.CallOff(session.number))
+
+    def _withdraw(self, session: _Session) -> None:
+        """The viewer waits no longer."""
+        self._answered(session)
+        session.state = _State.LEFT
+        self._out.append(ev.ViewerSessions(session.conn, -1))
+        del self._by_tag[session.tag]
+        self._tell(fl.Withdrawn(session.number))
+        self._attempt(at.CallOff(session.number))
+        if not self.attempts.holds(session.number):
+            self.sessions.pop(session.number, None)
+
+    def _viewer_gone(self, conn: int) -> None:
+        for number in sorted(self._by_conn.get(conn, ())):
+            session = self.sessions.get(number)
+            if session is not None:
+                self.counts["left with its connection"] += 1
+                self._withdraw(session)
+
+    def _answered(self, session: _Session) -> None:
+        """Its one answer is given, or not owed any more."""
+        numbers = self._by_conn.get(session.conn)
+        if numbers is not None:
+            numbers.discard(session.number)
+            if not numbers:
+                del self._by_conn[session.conn]
+
+    def _forget(self, session: _Session) -> None:
+        self.sessions.pop(session.number, None)
+        if self._by_tag.get(session.tag) is session:
+            del self._by_tag[session.tag]
+        if session.state is not _State.LEFT:
+            self._out.append(ev.ViewerSessions(session.conn, -1))
+
+    # ---- The module ---------------------------------------------------------------------------------------
+    def _tell(self, event: fl.Event) -> None:
+        """Tell the module; what it returns is carried out whole before it is told the next."""
+        self._told.append(event)
+        if len(self._told) > 1:
+            return  # told from inside an action: its turn comes
+        while self._told:
+            actions = self.module.handle(self._now, self._told[0])
+            if self._trace is not None:
+                self._trace(self._now, self._told[0], actions)
+            for action in actions:
+                self._carry_out(action)
+            self._told.popleft()
+
+    def _carry_out(self, action: fl.Action) -> None:
+        match action:
+            case fl.SetRung(number, rung):
+                session = self.sessions.get(number)
+                if session is not None:
+                    session.rung = rung
+                    self._attempt(at.Rung(number, rung))
+            case fl.SetUp(number, node, within_ms):
+                session = self.sessions[number]
+                session.node, session.box_conn = node, 0
+                attempt, session.attempts = session.attempts, session.attempts + 1
+                self.counts["attempts"] += 1
+                until = self._now + within_ms
+                self._attempt(at.Send(number, attempt, node, session.rung, False, until))
+            case fl.Refuse(number, come_back_ms):
+                self._final(number, REFUSED, come_back_ms)
+            case fl.Fail(number):
+                self._final(number, FAILED, 0.0)
+            case fl.SetTimer(delay_ms, token):
+                self._out.append(ev.StartTimer(delay_ms, fl.Wake(token)))
+            case fl.Cancel(number):
+                self._attempt(at.CallOff(number))
+            case fl.Move(number):
+                session = self.sessions.get(number)
+                if session is not None and session.state is _State.STANDS:
+                    self._out.append(ev.ToViewer(session.conn, viewers.move(session.tag), anywhere=True))
+                    self._attempt(at.CallOff(number))
+            case fl.Log(text):
+                self._out.append(ev.Say("module", text))
+            case fl.WatchList() | fl.FetchList():
+                pass  # the feed is always held
+            case fl.Probe():
+                self.counts["probe not offered"] += 1
+
+    def _final(self, number: int, cause: int, wait_ms: float) -> None:
+        session = self.sessions.get(number)
+        if session is None or session.state is not _State.ASKED:
+            return
+        self.counts["refused" if cause == REFUSED else "failed"] += 1
+        self._answered(session)
+        self._out.append(ev.ToViewer(session.conn, viewers.finish(session.tag, cause, wait_ms)))
+        self._forget(session)
+
+    # ---- Attempts -----------------------------------------------------------------------------------------
+    def _attempt(self, event: at.Event) -> None:
+        for action in self.attempts.handle(self._now, event):
+            match action:
+                case at.Put(number, attempt, node, _, until):
+                    self._out.append(ev.SendSetUp(number, node))
+                    delay = max(until - self._now, 0.0)
+                    self._out.append(ev.StartTimer(delay, ev.AttemptDue(number, attempt)))
+                case at.AbortPut(number, _, if_unsent):
+                    self._abort(number, if_unsent)
+                case at.PutRung(number, _, node, rung):
+                    session = self.sessions[number]
+                    data = rtsp.new_rung(session.tag, rung)
+                    self._out.append(ev.ToBox(node, session.box_conn, data))
+                case at.Release(set_up, node):
+                    self._release(set_up, node)
+                case at.TellStarted(number, attempt, node):
+                    session = self.sessions[number]
+                    elapsed = self._now - session.sent_at
+                    self._stands(node, 1)
+                    self._tell(fl.Started(number, node, attempt, elapsed))
+                case at.TellEnded():
+                    self._ended(action)
+                case at.WriteIntent():
+                    raise AssertionError("a platform director keeps no record of intents")
+
+    def _abort(self, number: int, if_unsent: bool) -> None:
+        session = self.sessions[number]
+        if session.box_conn and if_unsent:
+            return
+        self._lost(number, at.Loss.CANCELLED)
+
+    def _lost(self, number: int, loss: at.Loss) -> None:
+        """The attempt that is out has no answer."""
+        session = self.sessions.get(number)
+        if session is None or not self.attempts.holds(number) or session.state is _State.STANDS:
+            return
+        if not session.box_conn:
+            self._out.append(ev.StopSetUp(number, session.node))
+        self._attempt(at.Lost(number, session.attempts - 1, loss, left=session.box_conn != 0))
+
+    def _attempt_due(self, number: int, attempt: int) -> None:
+        session = self.sessions.get(number)
+        if session is None or session.attempts - 1 != attempt or session.state is _State.STANDS:
+            return
+        if self.attempts.holds(number):
+            self.counts["timed out" if session.box_conn else "not connected in time"] += 1
+            # what waited for a connection all the while has provably not left
+            self._lost(number, at.Loss.TIMEOUT if session.box_conn else at.Loss.CONNECT)
+
+    def _release(self, set_up: str, node: int) -> None:
+        """Nobody wants what the box may run for this attempt."""
+        own = self.attempts.own(set_up)
+        session = None if own is None else self.sessions.get(own[0])
+        if session is not None and session.box_conn >= 0:
+            if session.state is _State.STANDS:
+                data = rtsp.release(session.tag, MOVED)
+                self._out.append(ev.ToBox(node, session.box_conn, data))
+            else:
+                # with its connection the set-up is given up anyhow
+                data = rtsp.give_up(session.tag)
+                self._out.append(ev.ToBox(node, session.box_conn, data, only=True))
+        self.attempts.handle(self._now, at.Released(set_up))
+
+    def _ended(self, told: at.TellEnded) -> None:
+        session = self.sessions[told.session]
+        if told.playing:
+            self._stands(told.node, -1)
+            self.counts["ended, " + told.outcome.value] += 1
+            if told.outcome is not fl.Outcome.CANCELLED:
+                cause = NORMAL if told.outcome is fl.Outcome.OK else CUT
+                self._out.append(ev.ToViewer(session.conn, viewers.finish(session.tag, cause), anywhere=True))
+            self._forget(session)
+        else:
+            self.counts["attempt " + told.outcome.value] += 1
+            if session.box_conn > 0:
+                self._out.append(ev.SetUpEnded(told.node, session.box_conn))
+            if session.state is _State.LEFT:
+                self.sessions.pop(session.number, None)
+        final = told.playing or session.state is _State.LEFT
+        elapsed = self._now - session.sent_at
+        session.box_conn = 0
+        self._tell(
+            fl.Ended(told.session, told.node, told.attempt, told.outcome, final, elapsed, told.load)
+        )
+
+    def _stands(self, node: int, more: int) -> None:
+        self._standing[node] += more
+        count = self._standing[node]
+        if not count:
+            del self._standing[node]
+        self._out.append(ev.Standing(node, count))
+
+    # ---- Boxes --------------------------------------------------------------------------------------------
+    def _from_box(self, event: ev.FromBox) -> None:
+        message, node = event.message, event.node
+        session = self._by_tag.get(message.session)
+        if isinstance(message, rtsp.Answer):
+            if message.cseq == 1 and message.status >= 200:
+                self._answer(event, message, session)
+            return
+        mine = session is not None and session.node == node and self.attempts.holds(session.number)
+        if message.method == "TEARDOWN":
+            self._out.append(ev.ToBox(node, event.conn, rtsp.heard(message), only=True))
+            if session is not None and mine:
+                self._box_ended(session, message)
+        elif message.method == "ANNOUNCE" and session is not None and mine:
+            kind, value = _NOTES.get(message.headers.get("fail-word", "")), _value(message)
+            if kind is not None and value is not None and session.state is _State.STANDS:
+                self._tell(fl.Note(session.number, node, kind, value))
+
+    def _box_ended(self, session: _Session, message: rtsp.Request) -> None:
+        cause = message.headers.get("reason", "").removeprefix("cause=")
+        load = self._load(message.headers)
+        attempt = session.attempts - 1
+        if session.state is _State.STANDS:
+            code = int(cause) if cause.isascii() and cause.isdigit() and len(cause) < 4 else 0
+            outcome = _RELEASES.get(code, fl.Outcome.RESET)
+            self._attempt(at.EndedAtBox(session.number, attempt, outcome, load=load))
+        elif session.box_conn:
+            self._attempt(at.Answered(session.number, attempt, False, fl.Outcome.RESET, load=load))
+
+    def _answer(self, event: ev.FromBox, message: rtsp.Answer, session: _Session | None) -> None:
+        """Only an answer to the attempt that is out, on the connection it left on, is one."""
+        if (
+            session is None
+            or session.state is not _State.ASKED
+            or (session.node, session.box_conn) != (event.node, event.conn)
+        ):
+            self.counts["answer that belongs to nothing"] += 1
+            return
+        number, attempt = session.number, session.attempts - 1
+        load = self._load(message.headers)
+        if message.status != 200:
+            outcome = _REFUSALS.get(message.status, fl.Outcome.ERROR)
+            self._attempt(at.Answered(number, attempt, False, outcome, load=load))
+            return
+        try:
+            description = message.body.decode()
+        except UnicodeDecodeError:
+            description = ""
+        if not description:
+            self.counts["answer without a description"] += 1
+            self._lost(number, at.Loss.GARBAGE)
+            return
+        session.state, session.description, session.stands_since = _State.STANDS, "", self._now
+        self.counts["started"] += 1
+        self._answered(session)
+        self._out.append(ev.ToViewer(session.conn, viewers.started(session.tag, description)))
+        self._out.append(ev.SetUpEnded(event.node, event.conn))
+        self._attempt(at.Answered(number, attempt, True, fl.Outcome.OK, load=load))
+
+    def _load(self, headers: dict[str, str]) -> fl.Load | None:
+        """The columns that the settings name, where their values are finite and not negative."""
+        text = headers.get("link-state")
+        if not text:
+            return None
+        named: dict[str, float] = {}
+        for part in text.split(";"):
+            name, _, value = part.partition(":")
+            if name in self._columns:
+                try:
+                    figure = float(value)
+                except ValueError:
+                    continue
+                if 0 <= figure < float("inf"):
+                    named[LOAD_FIELDS[name]] = figure
+        return fl.Load(**named) if named else None
+
+    def _box_connection_lost(self, node: int, conn: int, spoilt: bool) -> None:
+        loss = at.Loss.GARBAGE if spoilt else at.Loss.RESET
+        out = [
+            session.number
+            for session in self.sessions.values()
+            if session.box_conn == conn and session.node == node and session.state is not _State.STANDS
+        ]
+        for number in out:
+            self.sessions[number].box_conn = -1  # it had left, and there is nothing to write to any more
+            self._lost(number, loss)
+
+    # ---- Box list -----------------------------------------------------------------------------------------
+    def _list(self, told: Told, cached: bool) -> None:
+        kind = fl.ListKind.FULL if told.whole else fl.ListKind.DELTA
+        if cached and told.whole:
+            kind = fl.ListKind.CACHED
+        self.listed |= told.whole
+        closed: list[tuple[int, bool]] = []
+        restarted: list[int] = []
+        if told.whole:
+            named = {box.info.node for box in told.boxes}
+            closed += [(node, True) for node in sorted(self._boxes) if node not in named]
+        for box in told.boxes:
+            info = box.info
+            if info.status is fl.Status.GONE:
+                closed.append((info.node, True))
+                continue
+            before = self._boxes.get(info.node)
+            if before is not None and info.started_ms > before.started_ms:
+                restarted.append(info.node)
+            for other in [n for n, address in self._addresses.items() if address == box.address]:
+                if other != info.node:
+                    closed.append((other, True))  # its address is another's now: it cannot be reached again
+            self._boxes[info.node], self._addresses[info.node] = info, box.address
+            self._out.append(ev.BoxListed(info.node, box.address))
+            if info.status is fl.Status.DRAINING:
+                closed.append((info.node, False))
+            else:
+                self._attempt(at.Serves(info.node))
+        for node, gone in closed:
+            if gone:
+                self._boxes.pop(node, None)
+                self._addresses.pop(node, None)
+                self._out.append(ev.BoxGone(node))
+        # the module first: what is stopped below may be placed anew at once, and not at a box that drains
+        self._tell(fl.NodeList(kind, tuple(box.info for box in told.boxes)))
+        for node, gone in closed:
+            self._attempt(at.Drains(node, gone))
+        for node in restarted:
+            self._restarted(node)
+        for tag, (conn, start) in list(self._handovers.items()):
+            if start.plays_at is not None and start.plays_at in self._boxes:
+                del self._handovers[tag]
+                self._hand_over(conn, start, start.plays_at)
+
+    def _restarted(self, node: int) -> None:
+        """What stood there before the box's new start went with the old process."""
+        started_ms = self._boxes[node].started_ms
+        for session in [s for s in self.sessions.values() if s.node == node]:
+            if session.state is _State.STANDS and session.stands_since < started_ms:
+                self.counts["went with an old process"] += 1
+                self._attempt(at.EndedAtBox(session.number, session.attempts - 1, fl.Outcome.RESET))
+
+
+def _value(message: rtsp.Request) -> float | None:
+    try:
+        value = float(message.headers.get("x-reading", ""))
+    except ValueError:
+        return None
+    return value if 0 <= value < float("inf") else None
--- /dev/null
+++ b/foxlift/platform/limits.py
@@ -0,0 +1,94 @@
+"""Who may stay connected, and when a stopping director may end. No I/O.
+
+Viewers hold at most a third of the descriptors by the platform's word; whoever connects beyond, or says
+nothing, is nobody's viewer yet and is the first to go. A connection is *proven* once a whole message came on
+it that makes sense.
+
+    connection  event                        what is done
+    unproven    older than UNPROVEN_MS       shut
+    any         half a message for HALF_MS   shut
+    any         one too many connects        shut the oldest unproven; else the longest quiet one without a
+                                             session; else the one that came
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+UNPROVEN_MS = 2000.0  # bad clients are owed a close within 3 s of connecting
+HALF_MS = 1500.0  # a viewer writes a line at once; half of one is none
+VIEWER_PART = 0.55  # of the descriptors: a third for viewers, the rest for those who are not yet known
+BOX_PART = 0.3  # of the descriptors, for media boxes
+RESERVED = 16  # descriptors: the loop's own, the listener, the coordinator's old and new connection, logs
+LEAST_STAY_MS = 700.0  # after SIGTERM: so long requests may still arrive
+STAY_SLACK_MS = 250.0
+
+
+@dataclass(slots=True)
+class _Door:
+    since: float
+    proven: bool = False
+    half_since: float = 0.0  # 0: no half message
+    heard_at: float = 0.0
+    sessions: int = 0  # open or standing
+
+
+@dataclass(slots=True)
+class Doors:
+    """Every connection from viewers."""
+
+    most: int
+    doors: dict[int, _Door] = field(default_factory=dict)  # in order of their coming
+    turned_away: int = 0
+
+    def opened(self, now: float, conn: int) -> int | None:
+        """A connection came; the one to shut for it, if any."""
+        self.doors[conn] = _Door(now, heard_at=now)
+        if len(self.doors) <= self.most:
+            return None
+        self.turned_away += 1
+        for name, door in self.doors.items():
+            if not door.proven and name != conn:
+                return name
+        free = [(d.heard_at, name) for name, d in self.doors.items() if not d.sessions and name != conn]
+        return min(free)[1] if free else conn
+
+    def heard(self, now: float, conn: int, proven: bool, half: bool) -> None:
+        """Bytes came; `proven`: a message that makes sense was among them; `half`: one is not whole yet."""
+        door = self.doors.get(conn)
+        if door is not None:
+            door.heard_at = now
+            door.proven |= proven
+            door.half_since = (door.half_since or now) if half else 0.0
+
+    def sessions(self, conn: int, more: int) -> None:
+        """Sessions on the connection have come or gone."""
+        door = self.doors.get(conn)
+        if door is not None:
+            door.sessions = max(door.sessions + more, 0)
+
+    def closed(self, conn: int) -> None:
+        """The connection is over."""
+        self.doors.pop(conn, None)
+
+    def any_proven(self) -> int | None:
+        """The connection with sessions that was heard last; without one, the proven one heard last."""
+        best = max(
+            ((door.sessions > 0, door.heard_at, name) for name, door in self.doors.items() if door.proven),
+            default=None,
+        )
+        return best[2] if best is not None else None
+
+    def overdue(self, now: float) -> list[int]:
+        """Connections to shut by now."""
+        return [
+            name
+            for name, door in self.doors.items()
+            if (not door.proven and now - door.since >= UNPROVEN_MS)
+            or (door.half_since and now - door.half_since >= HALF_MS)
+        ]
+
+
+def may_end(now: float, stopping_since: float, unanswered: int) -> bool:
+    """Whether a director that was told to stop owes nothing any more and nothing more can come."""
+    return now - stopping_since >= LEAST_STAY_MS + STAY_SLACK_MS and unanswered == 0
--- /dev/null
+++ b/foxlift/platform/lines.py
@@ -0,0 +1,325 @@
+"""The connections to one media box: which carries a set-up, and what silence or a refusal proves. No I/O.
+
+    connection  event                     next     what is done
+    (none)      Want, none idle           OPENING  open one, the set-up waits for it
+    OPENING     Up                        UP       the longest waiting set-up leaves on it
+    OPENING     not up in time, Down      (none)   one waiting set-up has failed to connect
+    UP          Want, nothing out on it   UP       the set-up leaves on it
+    UP          quiet with work out       UP       ping
+    UP          ping not answered         (none)   shut: what is out on it is lost
+    UP          Down                      (none)   open another if sessions play there
+    UP          idle for long             (none)   shut, before the box does while a set-up is being written
+
+One set-up at a time leaves on a connection while there is room for more connections: an answer that cannot
+be read spoils all that is out on its connection, and so costs one session only.
+
+Sessions that play there belong to no connection. They are lost when the box refuses a connection while none
+is up (its process is gone), when the list says that the box is gone and its last connection breaks, or when
+nothing was heard for `LOST_MS` whatever was tried.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+PING_AFTER_MS = 900.0  # quiet for so long with something out or playing: test the connection
+PONG_WITHIN_MS = 900.0  # a test is passed at once by a box that lives, however slow its set-ups are
+LOST_MS = 5000.0  # silence after which what played there is over; viewers are owed word within 8 s of an end
+REOPEN_MS = 250.0  # between tries to reach a silent box that sessions play on
+IDLE_PART = 0.6  # of the box's own idle time: after that this side closes first
+SPARE = 2  # idle connections kept without regard to their use
+SPARE_IDLE_MS = 4000.0  # idle connections beyond those are closed after so long
+
+
+# ---- Events -----------------------------------------------------------------------------------------------
+@dataclass(frozen=True, slots=True)
+class Want:
+    """A set-up is to leave."""
+
+    key: int
+
+
+@dataclass(frozen=True, slots=True)
+class Unwant:
+    """A set-up that has not left is no longer wanted."""
+
+    key: int
+
+
+@dataclass(frozen=True, slots=True)
+class Reach:
+    """Something that belongs to no set-up is to be sent: a connection is wanted."""
+
+
+@dataclass(frozen=True, slots=True)
+class Up:
+    """A connection is made."""
+
+    conn: int
+
+
+@dataclass(frozen=True, slots=True)
+class Down:
+    """A connection is over or could not be made."""
+
+    conn: int
+    refused: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """Something came that could be read."""
+
+    conn: int
+
+
+@dataclass(frozen=True, slots=True)
+class Freed:
+    """A set-up that had left on the connection has its end."""
+
+    conn: int
+
+
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """So many sessions play there now."""
+
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class Gone:
+    """The list says that the box is no more."""
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed."""
+
+
+Event = Want | Unwant | Reach | Up | Down | Heard | Freed | Standing | Gone | Tick
+
+
+# ---- Actions ----------------------------------------------------------------------------------------------
+@dataclass(frozen=True, slots=True)
+class Open:
+    """Make a connection; send Tick when the wait for it is over."""
+
+    conn: int
+    within_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Use:
+    """Send the set-up on the connection."""
+
+    conn: int
+    key: int
+
+
+@dataclass(frozen=True, slots=True)
+class Unreached:
+    """No connection for the set-up: nothing of it has left."""
+
+    key: int
+
+
+@dataclass(frozen=True, slots=True)
+class Ping:
+    """Test the connection."""
+
+    conn: int
+
+
+@dataclass(frozen=True, slots=True)
+class Shut:
+    """Close the connection."""
+
+    conn: int
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """Every session that played there is over."""
+
+    why: str
+
+
+Action = Open | Use | Unreached | Ping | Shut | Lost
+
+
+@dataclass(slots=True)
+class _Connection:
+    since: float
+    up: bool = False
+    out: int = 0
+    heard_at: float = 0.0
+    used_at: float = 0.0
+    pinged_at: float = 0.0  # 0: no test is out
+
+
+@dataclass(slots=True)
+class Line:
+    """One box, as far as connections go."""
+
+    connect_ms: float
+    idle_ms: float
+    most: int  # connections at once
+    standing: int = 0
+    gone: bool = False
+    conns: dict[int, _Connection] = field(default_factory=dict)
+    waiting: deque[tuple[int, float]] = field(default_factory=deque)  # set-up, since when
+    heard_at: float = 0.0
+    tried_at: float = 0.0
+    _last: int = 0
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        """Take one event in; `now` in ms."""
+        match event:
+            case Heard(conn):
+                self.heard_at = now
+                found = self.conns.get(conn)
+                if found is not None:
+                    found.heard_at, found.pinged_at = now, 0.0
+                return []
+            case Want(key):
+                return self._want(now, key)
+            case Freed(conn):
+                return self._freed(now, conn)
+            case Unwant(key):
+                self.waiting = deque(wait for wait in self.waiting if wait[0] != key)
+                return []
+            case Reach():
+                return [] if self.conns else [self._open(now)]
+            case Up(conn):
+                return self._up(now, conn)
+            case Down(conn, refused):
+                return self._down(now, conn, refused)
+            case Standing(count):
+                return self._stands(now, count)
+            case Gone():
+                self.gone = True
+                return []
+            case Tick():
+                return self._tick(now)
+
+    @property
+    def any_up(self) -> int | None:
+        """The connection last heard of."""
+        ups = [(c.heard_at, name) for name, c in self.conns.items() if c.up]
+        return max(ups)[1] if ups else None
+
+    @property
+    def unused(self) -> bool:
+        """Nothing is out, plays or waits there."""
+        return not (self.standing or self.waiting or any(c.out for c in self.conns.values()))
+
+    def _open(self, now: float) -> Open:
+        self._last += 1
+        self.conns[self._last] = _Connection(now)
+        self.tried_at = now
+        return Open(self._last, self.connect_ms)
+
+    def _want(self, now: float, key: int) -> list[Action]:
+        best: int | None = None
+        for name, conn in self.conns.items():
+            # one that is being tested may be dead; one long idle may be closed by the box at this moment
+            if conn.up and not conn.out and not conn.pinged_at and now - conn.used_at < self._idle(1.0):
+                best = name if best is None or conn.heard_at >= self.conns[best].heard_at else best
+        if best is None and len(self.conns) >= self.most:
+            ups = [(c.out, name) for name, c in self.conns.items() if c.up and not c.pinged_at]
+            best = min(ups)[1] if ups else None
+        if best is not None:
+            return [self._use(now, best, key)]
+        self.waiting.append((key, now))
+        opening = sum(1 for c in self.conns.values() if not c.up)
+        if opening < len(self.waiting) and len(self.conns) < self.most:
+            return [self._open(now)]
+        return []
+
+    def _use(self, now: float, name: int, key: int) -> Use:
+        conn = self.conns[name]
+        conn.out += 1
+        conn.used_at = now
+        return Use(name, key)
+
+    def _up(self, now: float, name: int) -> list[Action]:
+        conn = self.conns.get(name)
+        if conn is None:
+            return [Shut(name)]
+        conn.up, conn.heard_at, conn.used_at = True, now, now
+        if self.waiting:
+            return [self._use(now, name, self.waiting.popleft()[0])]
+        return self._test(now, name, conn) if self.standing else []
+
+    def _test(self, now: float, name: int, conn: _Connection) -> list[Action]:
+        conn.pinged_at = now
+        return [Ping(name)]
+
+    def _freed(self, now: float, name: int) -> list[Action]:
+        conn = self.conns.get(name)
+        if conn is None:
+            return []
+        conn.out = max(conn.out - 1, 0)
+        if self.waiting and conn.up and not conn.out:
+            return [self._use(now, name, self.waiting.popleft()[0])]
+        return []
+
+    def _down(self, now: float, name: int, refused: bool) -> list[Action]:
+        conn = self.conns.pop(name, None)
+        if conn is None:
+            return []
+        actions: list[Action] = []
+        if not conn.up and self.waiting:
+            actions.append(Unreached(self.waiting.popleft()[0]))
+        if self.standing and not any(c.up for c in self.conns.values()):
+            if refused or self.gone:
+                return [*actions, Lost("refused" if refused else "gone")]
+            if conn.up and not self.conns:
+                actions.append(self._open(now))
+        elif self.waiting and len(self.waiting) > len(self.conns) and len(self.conns) < self.most:
+            actions.append(self._open(now))
+        return actions
+
+    def _stands(self, now: float, count: int) -> list[Action]:
+        first = count and not self.standing
+        self.standing = count
+        if first:
+            # silence counts from here: nothing was listened for before
+            self.heard_at = now
+        return [self._open(now)] if first and not self.conns else []
+
+    def _idle(self, part: float) -> float:
+        return self.idle_ms * IDLE_PART * part
+
+    def _tick(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        idle = 0
+        ups = [c for c in self.conns.values() if c.up]
+        latest = max((c.heard_at for c in ups), default=0.0)
+        for name, conn in list(self.conns.items()):
+            if not conn.up:
+                if now - conn.since >= self.connect_ms:
+                    actions += [Shut(name), *self._down(now, name, False)]
+                continue
+            if conn.pinged_at and now - conn.pinged_at >= PONG_WITHIN_MS:
+                actions += [Shut(name), *self._down(now, name, False)]
+                continue
+            quiet = now - max(conn.heard_at, conn.used_at) >= PING_AFTER_MS
+            minds = conn.out or (self.standing and conn.heard_at >= latest)
+            if quiet and minds and not conn.pinged_at:
+                actions += self._test(now, name, conn)
+            if not conn.out and not minds:
+                idle += 1
+                unused = now - conn.used_at
+                if unused >= self._idle(1.0) or (idle > SPARE and unused >= SPARE_IDLE_MS):
+                    del self.conns[name]
+                    actions.append(Shut(name))
+        if self.standing:
+            if now - self.heard_at >= LOST_MS:
+                self.heard_at = now
+                actions.append(Lost("silent"))
+            elif not self.conns and now - self.tried_at >= REOPEN_MS:
+                actions.append(self._open(now))
+        return actions
--- /dev/null
+++ b/foxlift/platform/rtsp.py
@@ -0,0 +1,180 @@
+"""RTSP as media boxes speak it: bytes in, messages out, answers and requests mixed on one connection.
+
+Strict on purpose. What a box sends is passed on to a viewer as proof of a session, so a message is either
+whole and well formed or the connection is of no further use: a length that does not fit, a byte that belongs
+to no message, a doubled or missing header that tells messages apart end the reading for good. Every message
+is bounded by `MAX_MESSAGE` before anything is kept of it.
+
+Grammar: RFC 2326, sections 4 and 6 to 7, without continuation lines, which the boxes do not send.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+MAX_MESSAGE = 16 * 1024  # bytes, head and body together
+_STARTS = (b"RTSP/1.0 ", b"TEARDOWN ", b"ANNOUNCE ", b"OPTIONS ", b"SETUP ", b"SET_PARAMETER ", b"REDIRECT ")
+_TELLING = frozenset(("cseq", "session", "content-length"))  # twice in one message: it cannot be told apart
+
+
+class Spoilt(ValueError):
+    """What came cannot be read; nothing later on the connection can be."""
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A response. `session` is empty where it names none."""
+
+    status: int
+    cseq: int
+    session: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A request of the box's own: a release or a note."""
+
+    method: str
+    cseq: int
+    session: str
+    headers: dict[str, str]
+    body: bytes
+
+
+Message = Answer | Request
+
+
+class Reader:
+    """Cuts one connection's bytes into messages."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+        self._broken = False
+
+    @property
+    def pending(self) -> int:
+        """Bytes of a message that is not whole yet."""
+        return len(self._buffer)
+
+    def feed(self, data: bytes) -> list[Message]:
+        """Take bytes in; the messages that are whole by now. Raises Spoilt, then for ever.
+
+        What stands before something unreadable in the same read is not given out: where a length does not
+        fit, the message before the damage is the damaged one.
+        """
+        if self._broken:
+            raise Spoilt("after an unreadable message")
+        self._buffer += data
+        found: list[Message] = []
+        try:
+            while self._buffer:
+                message = self._next()
+                if message is None:
+                    break
+                found.append(message)
+        except Spoilt:
+            self._broken = True
+            self._buffer.clear()
+            raise
+        return found
+
+    def _next(self) -> Message | None:
+        buffer = self._buffer
+        if not any(buffer.startswith(start[: len(buffer)]) for start in _STARTS):
+            raise Spoilt("no message begins like this")
+        end = buffer.find(b"\r\n\r\n", 0, MAX_MESSAGE)
+        if end < 0:
+            if len(buffer) >= MAX_MESSAGE:
+                raise Spoilt("head without end")
+            return None
+        first, headers = _head(bytes(buffer[:end]))
+        length = _number(headers.get("content-length"), "Content-Length", MAX_MESSAGE)
+        if end + 4 + length > MAX_MESSAGE:
+            raise Spoilt("message too long")
+        if len(buffer) < end + 4 + length:
+            return None
+        body = bytes(buffer[end + 4 : end + 4 + length])
+        del buffer[: end + 4 + length]
+        return _message(first, headers, body)
+
+
+def _head(head: bytes) -> tuple[list[str], dict[str, str]]:
+    try:
+        lines = head.decode("ascii").split("\r\n")
+    except UnicodeDecodeError as error:
+        raise Spoilt("head is not ASCII") from error
+    headers: dict[str, str] = {}
+    for line in lines[1:]:
+        name, sign, value = line.partition(":")
+        key = name.lower()
+        if not sign or not name or name != name.strip() or not line.isprintable():
+            raise Spoilt("header line without a name")
+        if key in _TELLING and key in headers:
+            raise Spoilt(f"two {name} headers")
+        headers[key] = value.strip()
+    if not lines[0].isprintable():
+        raise Spoilt("first line is not text")
+    return lines[0].split(" ", 2), headers
+
+
+def _number(text: str | None, name: str, most: int) -> int:
+    if text is None or not (text.isascii() and text.isdigit()) or len(text) > 10 or int(text) > most:
+        raise Spoilt(f"{name} is missing or makes no sense")
+    return int(text)
+
+
+def _message(first: list[str], headers: dict[str, str], body: bytes) -> Message:
+    cseq = _number(headers.get("cseq", "0"), "CSeq", 2**31)
+    session = headers.get("session", "")
+    if first[0] == "RTSP/1.0":
+        if len(first) < 2 or len(first[1]) != 3 or not (first[1].isascii() and first[1].isdigit()):
+            raise Spoilt("no status")
+        return Answer(int(first[1]), cseq, session, headers, body)
+    if len(first) != 3 or first[2] != "RTSP/1.0" or not first[1].startswith("rtsp://media/"):
+        raise Spoilt("no request line")
+    return Request(first[0], cseq, session, headers, body)
+
+
+# ---- What a director sends --------------------------------------------------------------------------------
+def _request(method: str, address: str, cseq: int, session: str, more: str = "", body: bytes = b"") -> bytes:
+    head = f"{method} rtsp://media/{address} RTSP/1.0\r\nCSeq: {cseq}\r\nSession: {session}\r\n{more}"
+    return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+def set_up(session: str, title: str, klass: str, rung: int, within_ms: int, body: bytes) -> bytes:
+    """Ask the box for a session; `within_ms`: how long this director will wait."""
+    more = f"Call-Kind: {klass}\r\nAnswer-Within: {within_ms}\r\nX-Quality: {rung}\r\n"
+    return _request("SETUP", title, 1, session, more, body)
+
+
+def give_up(session: str) -> bytes:
+    """Take a set-up back that has no answer."""
+    return _request("TEARDOWN", session, 2, session)
+
+
+def release(session: str, cause: int) -> bytes:
+    """End a session that stands."""
+    return _request("TEARDOWN", session, 2, session, f"Reason: cause={cause}\r\n")
+
+
+def new_rung(session: str, rung: int) -> bytes:
+    """Set the rung of a session; wants no answer."""
+    return _request("SET_PARAMETER", session, 4, session, f"X-Quality: {rung}\r\n")
+
+
+def move(session: str) -> bytes:
+    """Take a session off the box because its viewer comes again; wants no answer."""
+    return _request("REDIRECT", session, 5, session)
+
+
+def ping(token: str) -> bytes:
+    """Test the connection."""
+    return _request("OPTIONS", "ping", 3, token)
+
+
+def heard(request: Request) -> bytes:
+    """A release of the box's was heard."""
+    named = f"CSeq: {request.cseq}\r\nSession: {request.session}\r\n"
+    return f"RTSP/1.0 200 OK\r\n{named}Content-Length: 0\r\n\r\n".encode()
--- /dev/null
+++ b/foxlift/platform/transport.py
@@ -0,0 +1,536 @@
+"""Sockets, timers and signals of a platform director. Wiring only: what is decided, others decide.
+
+Bounds: a viewer that does not read is not read from, and is dropped at `MOST_UNSENT` bytes; a box likewise; a
+line or message is bounded by its codec; connections by `foxlift.platform.limits`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+from collections import Counter, deque
+from collections.abc import Callable
+from typing import cast
+
+from foxlift.director.timeline import Timeline
+from foxlift.platform import events as ev
+from foxlift.platform import feed, limits, lines, rtsp, viewers
+from foxlift.platform.core import Core
+from foxlift.platform.settings import Address, Config, ConfigError, read
+
+MOST_UNSENT = 256 * 1024  # bytes written and not taken by the other side
+HIGH_WATER = 64 * 1024  # bytes unsent above which the other side is not read from
+TICK_MS = 100.0  # how often connections are looked over
+STALL_MS = 20.0  # a loop that stood still for longer looks at its sockets before its timers
+MOST_OWED = 4096  # releases kept for the next connection from viewers
+OWED_MS = 8000.0  # how long
+MOST_TO_SEND = 4096  # messages kept for a box that no connection is up to
+LOG_BURST, LOG_PER_S = 60.0, 10.0  # lines
+
+
+class Log:
+    """Lines on standard error, bounded in rate; what was left out is counted."""
+
+    def __init__(self) -> None:
+        self._room, self._at, self._left_out = LOG_BURST, time.monotonic(), 0
+
+    def say(self, what: str, detail: str = "") -> None:
+        """One line; names and counts only, never a description."""
+        now = time.monotonic()
+        self._room = min(self._room + (now - self._at) * LOG_PER_S, LOG_BURST)
+        self._at = now
+        if self._room < 1:
+            self._left_out += 1
+            return
+        self._room -= 1
+        more = f" ({self._left_out} lines left out)" if self._left_out else ""
+        self._left_out = 0
+        print(f"foxlift: {what}{': ' if detail else ''}{detail}{more}", file=sys.stderr, flush=True)
+
+
+class ViewerConnection(asyncio.Protocol):
+    """One connection from viewers."""
+
+    def __init__(self, director: PlatformDirector) -> None:
+        self._director = director
+        self._reader = viewers.Reader()
+        self.number = 0
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """A viewer connected."""
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(high=HIGH_WATER)
+        self.number = self._director.viewer_opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes from the viewer."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        try:
+            for line in self._reader.feed(data):
+                message = viewers.read_line(line)
+                proven = message is not None and not isinstance(message, viewers.Senseless)
+                self._director.viewer_heard(self.number, proven, False)
+                if message is not None:
+                    self._director.tell(ev.FromViewer(self.number, message))
+                if self.transport.is_closing():
+                    return
+        except viewers.Unreadable:
+            self._director.count["viewer unreadable"] += 1
+            self.close()
+            return
+        if self._reader.pending:
+            self._director.viewer_heard(self.number, False, True)
+
+    def pause_writing(self) -> None:
+        """The viewer does not read: it is not read from either."""
+        if self.transport is not None:
+            self.transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        """It reads again."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """The connection is over."""
+        self.transport = None
+        self._director.viewer_closed(self.number)
+
+    def send(self, data: bytes) -> bool:
+        """Write; False where the connection is over."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return False
+        if transport.get_write_buffer_size() > MOST_UNSENT:
+            self._director.count["viewer does not read"] += 1
+            transport.abort()
+            return False
+        transport.write(data)
+        return True
+
+    def close(self) -> None:
+        """Close after what is written."""
+        if self.transport is not None:
+            self.transport.close()
+
+
+class BoxConnection(asyncio.Protocol):
+    """One connection to a box."""
+
+    def __init__(self, director: PlatformDirector, node: int, number: int) -> None:
+        self._director, self.node, self.number = director, node, number
+        self._reader = rtsp.Reader()
+        self._spoilt = False
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection is up."""
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(high=HIGH_WATER)
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes from the box."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        try:
+            messages = self._reader.feed(data)
+        except rtsp.Spoilt as error:
+            self._spoilt = True
+            self._director.count["box unreadable"] += 1
+            self._director.log.say("box cannot be read", f"s-{self.node:08x}, {error}")
+            self._director.box_lost(self, spoilt=True)
+            self.transport.abort()
+            return
+        if messages:
+            self._director.line(self.node, lines.Heard(self.number))
+        for message in messages:
+            self._director.tell(ev.FromBox(self.node, self.number, message))
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """The connection is over."""
+        self.transport = None
+        if not self._spoilt:
+            self._director.box_lost(self, spoilt=False)
+
+    def send(self, data: bytes) -> bool:
+        """Write; False where the connection is over."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return False
+        if transport.get_write_buffer_size() > MOST_UNSENT:
+            transport.abort()
+            return False
+        transport.write(data)
+        return True
+
+    def close(self) -> None:
+        """Close at once."""
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class CoordinatorConnection(asyncio.Protocol):
+    """The connection to the coordinator."""
+
+    def __init__(self, director: PlatformDirector, reader: feed.Reader) -> None:
+        self._director, self._reader = director, reader
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection is up."""
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes of the feed."""
+        if self._director.coordinator is not self:
+            return
+        try:
+            frames = self._reader.feed(data)
+        except feed.Unreadable as error:
+            self._director.count["feed unreadable"] += 1
+            self._director.log.say("coordinator cannot be read", str(error))
+            self._director.feed_misread()
+            return
+        if frames:
+            self._director.tell_feed(feed.Heard(tuple(frames)))
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """The connection is over."""
+        self.transport = None
+        if self._director.coordinator is self:
+            self._director.coordinator = None
+            self._director.tell_feed(feed.Closed())
+
+
+class PlatformDirector:
+    """Everything of one director that touches the outside."""
+
+    def __init__(self, config: Config, config_path: str, loop: asyncio.AbstractEventLoop) -> None:
+        self.config, self._config_path, self._loop = config, config_path, loop
+        self.log = Log()
+        self.count: Counter[str] = Counter()
+        self.core = Core(config)
+        self.timeline = Timeline(loop, time.time(), STALL_MS, self._stalled)
+        self.doors = limits.Doors(max(int(config.sockets * limits.VIEWER_PART) - limits.RESERVED, 8))
+        self.coordinator: CoordinatorConnection | None = None
+        self.ended: asyncio.Future[None] = loop.create_future()
+        self._feed = feed.Feed(config.coordinator, config.known_number, config.seed)
+        self._viewers: dict[int, ViewerConnection] = {}
+        self._last_viewer = 0
+        self._owed: deque[tuple[float, bytes]] = deque()  # releases that no connection was there for
+        self._lines: dict[int, lines.Line] = {}
+        self._addresses: dict[int, Address] = {}
+        self._boxes: dict[tuple[int, int], BoxConnection] = {}
+        self._opening: dict[tuple[int, int], asyncio.Task[None]] = {}
+        self._to_send: dict[int, deque[bytes]] = {}
+        self._connecting: asyncio.Task[None] | None = None
+        self._server: asyncio.Server | None = None
+        self._stopping_since = 0.0
+
+    # ---- Life ---------------------------------------------------------------------------------------------
+    async def start(self) -> None:
+        """Listen, and hear the coordinator. Raises OSError where the address cannot be had."""
+        for told in self.config.known:
+            self.tell(ev.Listed(told, cached=True))
+        self._server = await self._loop.create_server(
+            lambda: ViewerConnection(self), self.config.listen.host, self.config.listen.port, backlog=1024
+        )
+        self._do_feed(self._feed.start())
+        self.timeline.later(TICK_MS, self._tick)
+
+    def reload(self) -> None:
+        """SIGHUP: the coordinator may have another address; a file that cannot be read changes nothing."""
+        try:
+            with open(self._config_path, "rb") as file:
+                config = read(file.read())
+        except (OSError, ConfigError) as error:
+            self.log.say("configuration not taken over", str(error))
+            return
+        self.count["reloads"] += 1
+        self.tell_feed(feed.Moved(config.coordinator))
+
+    def stop(self) -> None:
+        """SIGTERM: go on until nothing is owed and nothing more can come."""
+        if not self._stopping_since:
+            self._stopping_since = self.timeline.now()
+            self.log.say("stopping", f"{self.core.unanswered} set-ups unanswered")
+
+    def _tick(self) -> None:
+        now = self.timeline.now()
+        for number in self.doors.overdue(now):
+            self.count["viewer overdue"] += 1
+            self._viewers[number].close()
+        for node in list(self._lines):
+            self.line(node, lines.Tick())
+            line = self._lines.get(node)
+            if line is not None and line.gone and line.unused:
+                self._drop_line(node)
+        while self._owed and now - self._owed[0][0] > OWED_MS:
+            self._owed.popleft()
+        if self._stopping_since and limits.may_end(now, self._stopping_since, self.core.unanswered):
+            if not self.ended.done():
+                self.ended.set_result(None)
+            return
+        self.timeline.later(TICK_MS, self._tick)
+
+    def _stalled(self, late_ms: float) -> None:
+        self.count["stalls"] += 1
+
+    def last_line(self) -> str:
+        """What happened how often, and what was believed at the end against what the sockets hold."""
+        counted = ", ".join(f"{name} {n}" for name, n in sorted((self.core.counts + self.count).items()))
+        sizes = ", ".join(f"{name} {n}" for name, n in self.core.sizes().items())
+        sockets = f"viewers {len(self._viewers)}, box connections {len(self._boxes)}"
+        return f"{counted}; tables: {sizes}; sockets: {sockets}; feed at {self._feed.number}"
+
+    def guard(self, context: dict[str, object]) -> None:
+        """An exception that nobody caught ends in a line, and where it belongs to a connection, closes it."""
+        self.count["exceptions"] += 1
+        error = context.get("exception")
+        where = ""
+        if isinstance(error, BaseException):
+            frames = error.__traceback__
+            while frames is not None and frames.tb_next is not None:
+                frames = frames.tb_next
+            at = f"{frames.tb_frame.f_code.co_filename}:{frames.tb_lineno}" if frames is not None else ""
+            where = f"{type(error).__name__}: {error} at {at}"
+        self.log.say("exception", f"{context.get('message')} {where}")
+        transport = context.get("transport")
+        if isinstance(transport, asyncio.Transport):
+            transport.abort()
+
+    # ---- The core -----------------------------------------------------------------------------------------
+    def tell(self, event: ev.Event) -> None:
+        """Tell the core, and do what it wants."""
+        for action in self.core.handle(self.timeline.now(), event):
+            self._carry_out(action)
+
+    def _carry_out(self, action: ev.Action) -> None:
+        match action:
+            case ev.ToViewer(conn, data, anywhere):
+                viewer = self._viewers.get(conn)
+                if (viewer is None or not viewer.send(data)) and anywhere:
+                    self._to_any_viewer(data)
+            case ev.StartTimer(delay_ms, event):
+                self.timeline.later(delay_ms, lambda: self.tell(event))
+            case ev.SendSetUp(number, node):
+                if node not in self._lines:
+                    self.tell(ev.Unreached(number))
+                else:
+                    self.line(node, lines.Want(number))
+            case ev.StopSetUp(number, node):
+                self.line(node, lines.Unwant(number))
+            case ev.ToBox(node, conn, data, only):
+                self._to_box(node, conn, data, only)
+            case ev.SetUpEnded(node, conn):
+                self.line(node, lines.Freed(conn))
+            case ev.Standing(node, count):
+                self.line(node, lines.Standing(count))
+            case ev.ViewerSessions(conn, more):
+                self.doors.sessions(conn, more)
+            case ev.BoxListed(node, address):
+                self._addresses[node] = address
+                if node not in self._lines:
+                    module = self.config.module
+                    share = int(self.config.sockets * limits.BOX_PART / max(len(self._addresses), 1))
+                    most = max(min(share, 32), 1)
+                    self._lines[node] = lines.Line(
+                        module.connect_timeout_ms or 1000.0, self.config.idle_ms, most
+                    )
+            case ev.BoxGone(node):
+                self.line(node, lines.Gone())
+            case ev.Say(what, detail):
+                self.log.say(what, detail)
+
+    # ---- Viewers ------------------------------------------------------------------------------------------
+    def viewer_opened(self, viewer: ViewerConnection) -> int:
+        """A connection came; its number."""
+        self._last_viewer += 1
+        self._viewers[self._last_viewer] = viewer
+        shut = self.doors.opened(self.timeline.now(), self._last_viewer)
+        if shut is not None:
+            self._viewers[shut].close()
+        return self._last_viewer
+
+    def viewer_heard(self, number: int, proven: bool, half: bool) -> None:
+        """Bytes came on a connection."""
+        self.doors.heard(self.timeline.now(), number, proven, half)
+        if proven and self._owed:
+            owed, self._owed = self._owed, deque()
+            for _, data in owed:
+                self._to_any_viewer(data)
+
+    def viewer_closed(self, number: int) -> None:
+        """A connection is over."""
+        self.doors.closed(number)
+        if self._viewers.pop(number, None) is not None:
+            self.tell(ev.ViewerGone(number))
+
+    def _to_any_viewer(self, data: bytes) -> None:
+        number = self.doors.any_proven()
+        if number is not None and self._viewers[number].send(data):
+            return
+        self.count["owed to no connection"] += 1
+        if len(self._owed) < MOST_OWED:
+            self._owed.append((self.timeline.now(), data))
+
+    # ---- Boxes --------------------------------------------------------------------------------------------
+    def line(self, node: int, event: lines.Event) -> None:
+        """Tell a box's line, and do what it wants."""
+        line = self._lines.get(node)
+        if line is None:
+            return
+        for action in line.handle(self.timeline.now(), event):
+            match action:
+                case lines.Open(conn, within_ms):
+                    self._open_box(node, conn, within_ms)
+                case lines.Use(conn, key):
+                    self._use(node, conn, key)
+                case lines.Unreached(key):
+                    self.tell(ev.Unreached(key))
+                case lines.Ping(conn):
+                    self.count["pings"] += 1
+                    box = self._boxes.get((node, conn))
+                    if box is not None:
+                        box.send(rtsp.ping(f"{node:08x}{conn & 0xFFFFFFFF:08x}"))
+                case lines.Shut(conn):
+                    self._shut_box(node, conn)
+                case lines.Lost(why):
+                    self.log.say("box lost", f"s-{node:08x}, {why}")
+                    self.tell(ev.BoxLost(node, why))
+
+    def _open_box(self, node: int, conn: int, within_ms: float) -> None:
+        self.count["connections to boxes"] += 1
+        task = self._loop.create_task(self._connect_box(node, conn, self._addresses[node]))
+        self._opening[node, conn] = task
+        self.timeline.later(within_ms, lambda: self.line(node, lines.Tick()))
+
+    async def _connect_box(self, node: int, conn: int, address: Address) -> None:
+        box = BoxConnection(self, node, conn)
+        try:
+            await self._loop.create_connection(lambda: box, address.host, address.port)
+        except OSError as error:
+            self._opening.pop((node, conn), None)
+            refused = isinstance(error, ConnectionRefusedError)
+            self.count["connect refused" if refused else "connect failed"] += 1
+            self.line(node, lines.Down(conn, refused))
+            return
+        if self._opening.pop((node, conn), None) is None or box.transport is None:
+            box.close()
+            self.line(node, lines.Down(conn))
+            return
+        self._boxes[node, conn] = box
+        self.line(node, lines.Up(conn))
+        waiting = self._to_send.pop(node, None)
+        for data in waiting or ():
+            box.send(data)
+
+    def _use(self, node: int, conn: int, key: int) -> None:
+        box = self._boxes.get((node, conn))
+        if box is None or box.transport is None or box.transport.is_closing():
+            self.line(node, lines.Freed(conn))
+            self.tell(ev.Unreached(key))
+            return
+        data = self.core.take(self.timeline.now(), key, conn)
+        if data is None:
+            self.line(node, lines.Freed(conn))
+        else:
+            box.send(data)
+
+    def _to_box(self, node: int, conn: int, data: bytes, only: bool) -> None:
+        box = self._boxes.get((node, conn))
+        if (box is not None and box.send(data)) or only:
+            return
+        line = self._lines.get(node)
+        if line is None:
+            return
+        other = line.any_up
+        if other is not None and (box := self._boxes.get((node, other))) is not None and box.send(data):
+            return
+        waiting = self._to_send.setdefault(node, deque(maxlen=MOST_TO_SEND))
+        waiting.append(data)
+        self.line(node, lines.Reach())
+
+    def box_lost(self, box: BoxConnection, spoilt: bool) -> None:
+        """A connection to a box is over, or of no further use."""
+        if self._boxes.get((box.node, box.number)) is not box:
+            return
+        del self._boxes[box.node, box.number]
+        self.count["box connections spoilt" if spoilt else "box connections closed"] += 1
+        # the core first: what was out there may go elsewhere at once
+        self.tell(ev.BoxConnectionLost(box.node, box.number, spoilt))
+        self.line(box.node, lines.Down(box.number))
+
+    def _shut_box(self, node: int, conn: int) -> None:
+        task = self._opening.pop((node, conn), None)
+        if task is not None:
+            task.cancel()
+        box = self._boxes.pop((node, conn), None)
+        if box is not None:
+            box.close()
+            self.tell(ev.BoxConnectionLost(node, conn))
+
+    def _drop_line(self, node: int) -> None:
+        line = self._lines.pop(node)
+        self._addresses.pop(node, None)
+        self._to_send.pop(node, None)
+        for conn in list(line.conns):
+            self._shut_box(node, conn)
+
+    # ---- Coordinator --------------------------------------------------------------------------------------
+    def tell_feed(self, event: feed.Event) -> None:
+        """Tell the feed, and do what it wants."""
+        self._do_feed(self._feed.handle(self.timeline.now(), event))
+
+    def feed_misread(self) -> None:
+        """What the coordinator sent cannot be read."""
+        self._do_feed(self._feed.misread())
+
+    def _do_feed(self, actions: list[feed.Action]) -> None:
+        for action in actions:
+            match action:
+                case feed.Connect(address):
+                    self._connecting = self._loop.create_task(self._connect_coordinator(address))
+                case feed.Ask(data):
+                    if self.coordinator is not None and self.coordinator.transport is not None:
+                        self.coordinator.transport.write(data)
+                case feed.Drop():
+                    self._drop_coordinator()
+                case feed.Tell(told):
+                    self.tell(ev.Listed(told))
+                case feed.Later(delay_ms, turn):
+                    self.timeline.later(delay_ms, self._feed_timer(turn))
+
+    def _feed_timer(self, turn: int) -> Callable[[], None]:
+        return lambda: self.tell_feed(feed.Due(turn))
+
+    async def _connect_coordinator(self, address: Address) -> None:
+        module, config = self.config.module, self.config
+        reader = feed.Reader(max(config.zones, 1), max(len(module.kind_slots), 1), module.cells)
+        made = CoordinatorConnection(self, reader)
+        try:
+            await self._loop.create_connection(lambda: made, address.host, address.port)
+        except OSError as error:
+            self._connecting = None
+            self.count["coordinator not reached"] += 1
+            self.log.say("coordinator not reached", type(error).__name__)
+            self.tell_feed(feed.Closed())
+            return
+        self._connecting = None
+        if made.transport is not None:
+            self.coordinator = made
+            self.tell_feed(feed.Opened())
+        else:
+            self.tell_feed(feed.Closed())
+
+    def _drop_coordinator(self) -> None:
+        if self._connecting is not None:
+            self._connecting.cancel()
+            self._connecting = None
+        held, self.coordinator = self.coordinator, None
+        if held is not None and held.transport is not None:
+            held.transport.abort()
+
--- /dev/null
+++ b/foxlift/platform/viewers.py
@@ -0,0 +1,233 @@
+"""Viewers' JSON lines: bytes in, events out; answers to bytes.
+
+A line is one JSON object of at most 16 KiB. A line that is none of the protocol's messages is `Unreadable`,
+and with it the whole connection: who sends one has lost count of its own lines. A set-up that can be read but
+asks for what does not exist is `Senseless` and is answered by name.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+MAX_LINE = 16 * 1024  # bytes, line feed included
+MAX_FIGURE = 1e9  # no stated time, in ms, or count is larger
+_HEX = frozenset("0123456789abcdefABCDEF")
+
+
+class Unreadable(ValueError):
+    """The connection cannot be read any further."""
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """A viewer wants a session, or names one that plays at a box already (`plays_at`)."""
+
+    tag: str
+    klass: str
+    tenant: str
+    title: str
+    left_ms: float
+    hint_ms: float | None
+    first_cell: int
+    holders: int
+    top: int
+    viewer: int
+    again: bool
+    plays_at: int | None
+    description: str
+
+
+@dataclass(frozen=True, slots=True)
+class Finish:
+    """A viewer gives a set-up up (cause 16) or ends a session."""
+
+    tag: str
+    cause: int
+
+
+@dataclass(frozen=True, slots=True)
+class Echo:
+    """A test."""
+
+    tag: str
+
+
+@dataclass(frozen=True, slots=True)
+class Senseless:
+    """A set-up that can be read and cannot be served; `why` names the field."""
+
+    tag: str
+    why: str
+
+
+Event = Start | Finish | Echo | Senseless
+
+
+class _Line(msgspec.Struct):
+    verb: str
+    tag: str
+    opts: dict[str, str | int | float] = msgspec.field(default_factory=dict)
+    rc: int | None = None
+    blob: str | None = None
+
+
+class _Bad(ValueError):
+    pass
+
+
+_decode = msgspec.json.Decoder(_Line).decode
+_encode = msgspec.json.Encoder().encode
+
+
+@dataclass(slots=True)
+class Reader:
+    """Cuts one viewer's bytes into lines and reads them."""
+
+    _buffer: bytearray = field(default_factory=bytearray)
+
+    @property
+    def pending(self) -> int:
+        """Bytes of a line that is not whole yet."""
+        return len(self._buffer)
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """The lines that are whole by now. Raises Unreadable where one is too long."""
+        if not self._buffer and data.endswith(b"\n") and len(data) <= MAX_LINE and data.count(b"\n") == 1:
+            return [data]
+        self._buffer += data
+        lines: list[bytes] = []
+        start = 0
+        while (end := self._buffer.find(b"\n", start)) >= 0:
+            if end + 1 - start > MAX_LINE:
+                raise Unreadable("line over 16 KiB")
+            lines.append(bytes(self._buffer[start : end + 1]))
+            start = end + 1
+        del self._buffer[:start]
+        if len(self._buffer) >= MAX_LINE:
+            raise Unreadable("line over 16 KiB")
+        return lines
+
+
+def read_line(line: bytes) -> Event | None:
+    """What a line says; None for what means nothing here. Raises Unreadable."""
+    try:
+        found = _decode(line)
+    except (msgspec.MsgspecError, RecursionError, UnicodeError) as error:
+        raise Unreadable("not a message") from error
+    tag = found.tag
+    if len(tag) != 16 or not _HEX.issuperset(tag):
+        raise Unreadable("no id")
+    match found.verb:
+        case "START":
+            try:
+                return _start(found)
+            except _Bad as error:
+                return Senseless(tag, str(error))
+        case "FINISH":
+            cause = found.rc if found.rc is not None else 16
+            return Finish(tag, cause if 0 < cause < 128 else 16)
+        case "ECHO":
+            return Echo(tag)
+        case "FINISHED" | "PENDING" | "ECHOED" | "NOTICE":
+            return None
+    raise Unreadable("no such message")
+
+
+def _text(opts: dict[str, str | int | float], name: str) -> str:
+    value = opts.get(name)
+    if not isinstance(value, str) or not value:
+        raise _Bad(name)
+    return value
+
+
+def _figure(value: str | int | float | None, name: str, most: float = MAX_FIGURE) -> float:
+    """A number, finite, not negative and not larger than `most`."""
+    if isinstance(value, str):
+        try:
+            # float() also takes "1_0", " 1" and "infinity", which no figure of the protocol is
+            if not value or not set(value) <= set("0123456789.+-eE"):
+                raise _Bad(name)
+            value = float(value)
+        except ValueError as error:
+            raise _Bad(name) from error
+    if value is None or not math.isfinite(value) or not 0 <= value <= most:
+        raise _Bad(name)
+    return float(value)
+
+
+def _whole(value: str | None, name: str, most: int) -> int:
+    if value is None or not (value.isascii() and value.isdigit()) or len(value) > 12 or int(value) > most:
+        raise _Bad(name)
+    return int(value)
+
+
+def _start(line: _Line) -> Start:
+    opts = line.opts
+    title = _text(opts, "key")
+    if len(title) != 16 or not _HEX.issuperset(title):
+        raise _Bad("key")
+    extras: dict[str, str] = {}
+    for part in _text(opts, "extras").split(";"):
+        name, _, value = part.partition(":")
+        extras[name] = value
+    viewer = extras.get("viewer", "0")
+    if len(viewer) > 16 or not viewer or not _HEX.issuperset(viewer):
+        raise _Bad("extras.viewer")
+    at = extras.get("at")
+    if line.blob is None:
+        raise _Bad("description")
+    return Start(
+        tag=line.tag,
+        klass=_text(opts, "class"),
+        tenant=str(opts.get("tenant", "")),
+        title=title,
+        left_ms=0.0 if at is not None and "left" not in opts else _figure(opts.get("left"), "left"),
+        hint_ms=_figure(opts["hint"], "hint") if "hint" in opts else None,
+        first_cell=_whole(extras.get("home"), "extras.home", 65535),
+        holders=_whole(extras.get("copies"), "extras.copies", 65535),
+        top=_whole(extras.get("top"), "extras.top", 255),
+        viewer=int(viewer, 16),
+        again=extras.get("again", "0") != "0",
+        plays_at=None if at is None else node_number(at),
+        description=line.blob,
+    )
+
+
+def node_number(name: str) -> int:
+    """A box's number out of its name, as `s-00c41f7a`. Raises ValueError."""
+    if len(name) != 10 or not name.startswith("s-") or not _HEX.issuperset(name[2:]):
+        raise _Bad("box name")
+    return int(name[2:], 16)
+
+
+def _line(verb: str, tag: str, opts: dict[str, Any], **more: Any) -> bytes:
+    return _encode({"verb": verb, "tag": tag, "opts": opts, **more}) + b"\n"
+
+
+def started(tag: str, description: str) -> bytes:
+    """The session stands; the description is the box's own."""
+    return _line("STARTED", tag, {}, blob=description)
+
+
+def finish(tag: str, cause: int, wait_ms: float = 0.0) -> bytes:
+    """A refusal, a failure or a release. `wait_ms`: how long to keep away."""
+    return _line("FINISH", tag, {"wait": str(round(wait_ms))} if wait_ms > 0 else {}, rc=cause)
+
+
+def finished(tag: str) -> bytes:
+    """A release was heard."""
+    return _line("FINISHED", tag, {})
+
+
+def echoed(tag: str, well: bool) -> bytes:
+    """Answer to a test."""
+    return _line("ECHOED", tag, {}, rc=1 if well else 0)
+
+
+def move(tag: str) -> bytes:
+    """The session ends here and its viewer comes again."""
+    return _line("MOVE", tag, {})
--- a/foxlift/rehearsal/trial.py
+++ b/foxlift/rehearsal/trial.py
@@ -13,7 +13,7 @@
 
 from foxlift import interface as fl
 from foxlift.config import load_director
-from foxlift.director import Daemon
+from foxlift.director.daemon import Daemon
 from foxlift.http import Request
 from foxlift.manifest import DashSource, Fit, Renditions
 from foxlift.rehearsal.files import AUDIENCE, ISSUER, make_keys
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -17,7 +17,7 @@
 
 from foxlift import interface as fl
 from foxlift.config import DirectorConfig, bind, read_forms
-from foxlift.director import Daemon
+from foxlift.director.daemon import Daemon
 from foxlift.logic import Director
 from foxlift.standins.fleet import BoxPlan, Fleet, FleetPlan
 from foxlift.standins.tap import Recorder, Tap
--- a/tests/test_reconcile.py
+++ b/tests/test_reconcile.py
@@ -19,7 +19,7 @@
 from test_cli import files as cli_files
 
 from foxlift.cli.main import main
-from foxlift.director import Daemon
+from foxlift.director.daemon import Daemon
 from foxlift.ledger import Account, Ended, Journal, Started, read_records, read_tariff
 from foxlift.ledger.export import lines_of
 from foxlift.ledger.parquet import SCHEMA, write_parquet
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -7,6 +7,7 @@
 import pytest
 
 from foxlift import wire, wirehost
+from foxlift.wiresettings import SettingsError
 
 HEAD = "00000000206ec040 "
 ASK = (
@@ -106,7 +107,7 @@
 )
 def test_bad_input_is_one_plain_line(body: str, message: str) -> None:
     data = bytes.fromhex(body)
-    with pytest.raises((wire.WireError, wirehost.HostError), match=message):
+    with pytest.raises((wire.WireError, wirehost.HostError, SettingsError), match=message):
         wirehost.serve(io.BytesIO(len(data).to_bytes(4, "little") + data), io.BytesIO())
 
 
