Tests of the platform's codecs and machines; a box's address taken by another ends it

Seen by the test of 100,000 sessions: where the list gives one box's address to another, the module went on choosing the old one. It is told that the old one is gone, and what played there is released.

--- a/foxlift/platform/core.py
+++ b/foxlift/platform/core.py
@@ -22,7 +22,7 @@
 
 from collections import Counter, deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from foxlift import interface as fl
@@ -215,9 +215,7 @@
                 self._turn_down(conn, start.tag)
             return
         self._last += 1
-        session = _Session(
-            self._last, start.tag, conn, klass, start.title, start.description, _State.ASKED
-        )
+        session = _Session(self._last, start.tag, conn, klass, start.title, start.description, _State.ASKED)
         self.sessions[session.number] = self._by_tag[start.tag] = session
         self._by_conn.setdefault(conn, set()).add(session.number)
         self._out.append(ev.ViewerSessions(conn, 1))
@@ -448,15 +446,15 @@
         final = told.playing or session.state is _State.LEFT
         elapsed = self._now - session.sent_at
         session.box_conn = 0
-        self._tell(
-            fl.Ended(told.session, told.node, told.attempt, told.outcome, final, elapsed, told.load)
-        )
+        self._tell(fl.Ended(told.session, told.node, told.attempt, told.outcome, final, elapsed, told.load))
 
     def _stands(self, node: int, more: int) -> None:
         self._standing[node] += more
         count = self._standing[node]
         if not count:
             del self._standing[node]
+            if node not in self._boxes:
+                self._addresses.pop(node, None)
         self._out.append(ev.Standing(node, count))
 
     # ---- Boxes --------------------------------------------------------------------------------------------
@@ -554,6 +552,8 @@
         self.listed |= told.whole
         closed: list[tuple[int, bool]] = []
         restarted: list[int] = []
+        taken: list[int] = []
+        infos = [box.info for box in told.boxes]
         if told.whole:
             named = {box.info.node for box in told.boxes}
             closed += [(node, True) for node in sorted(self._boxes) if node not in named]
@@ -567,7 +567,11 @@
                 restarted.append(info.node)
             for other in [n for n, address in self._addresses.items() if address == box.address]:
                 if other != info.node:
-                    closed.append((other, True))  # its address is another's now: it cannot be reached again
+                    # its address is another's now: what answers there is not what its sessions played on
+                    taken.append(other)
+                    if other in self._boxes:
+                        infos.append(replace(self._boxes[other], status=fl.Status.GONE))
+                        closed.append((other, True))
             self._boxes[info.node], self._addresses[info.node] = info, box.address
             self._out.append(ev.BoxListed(info.node, box.address))
             if info.status is fl.Status.DRAINING:
@@ -577,14 +581,19 @@
         for node, gone in closed:
             if gone:
                 self._boxes.pop(node, None)
-                self._addresses.pop(node, None)
+                if not self._standing[node]:
+                    self._addresses.pop(node, None)
                 self._out.append(ev.BoxGone(node))
         # the module first: what is stopped below may be placed anew at once, and not at a box that drains
-        self._tell(fl.NodeList(kind, tuple(box.info for box in told.boxes)))
+        self._tell(fl.NodeList(kind, tuple(infos)))
         for node, gone in closed:
             self._attempt(at.Drains(node, gone))
         for node in restarted:
             self._restarted(node)
+        for node in taken:
+            self._addresses.pop(node, None)
+            self.counts["box lost, address taken"] += 1
+            self._attempt(at.BoxLost(node))
         for tag, (conn, start) in list(self._handovers.items()):
             if start.plays_at is not None and start.plays_at in self._boxes:
                 del self._handovers[tag]
--- a/foxlift/platform/events.py
+++ b/foxlift/platform/events.py
@@ -200,4 +200,3 @@
     | StartTimer
     | Say
 )
-
--- a/foxlift/platform/transport.py
+++ b/foxlift/platform/transport.py
@@ -26,6 +26,7 @@
 MOST_OWED = 4096  # releases kept for the next connection from viewers
 OWED_MS = 8000.0  # how long
 MOST_TO_SEND = 4096  # messages kept for a box that no connection is up to
+SUMMARY_MS = 15000.0  # between two lines on what happened so far
 LOG_BURST, LOG_PER_S = 60.0, 10.0  # lines
 
 
@@ -229,6 +230,7 @@
         self._connecting: asyncio.Task[None] | None = None
         self._server: asyncio.Server | None = None
         self._stopping_since = 0.0
+        self._summary_at = self.timeline.now() + SUMMARY_MS
 
     # ---- Life ---------------------------------------------------------------------------------------------
     async def start(self) -> None:
@@ -241,6 +243,20 @@
         self._do_feed(self._feed.start())
         self.timeline.later(TICK_MS, self._tick)
 
+    async def close(self) -> None:
+        """Close everything at once."""
+        self.timeline.close()
+        if self._server is not None:
+            self._server.close()
+        self._drop_coordinator()
+        for task in self._opening.values():
+            task.cancel()
+        for viewer in list(self._viewers.values()):
+            viewer.close()
+        for box in list(self._boxes.values()):
+            box.close()
+        await asyncio.sleep(0)
+
     def reload(self) -> None:
         """SIGHUP: the coordinator may have another address; a file that cannot be read changes nothing."""
         try:
@@ -268,6 +284,9 @@
             line = self._lines.get(node)
             if line is not None and line.gone and line.unused:
                 self._drop_line(node)
+        if now >= self._summary_at:
+            self._summary_at = now + SUMMARY_MS
+            self.log.say("so far", self.last_line())
         while self._owed and now - self._owed[0][0] > OWED_MS:
             self._owed.popleft()
         if self._stopping_since and limits.may_end(now, self._stopping_since, self.core.unanswered):
@@ -533,4 +552,3 @@
         held, self.coordinator = self.coordinator, None
         if held is not None and held.transport is not None:
             held.transport.abort()
-
--- /dev/null
+++ b/tests/test_platform_lines.py
@@ -0,0 +1,355 @@
+"""Connections to boxes, the coordinator's feed, viewers' doors and the stop, without sockets."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from foxlift.platform import feed, limits, lines
+from foxlift.platform.settings import Address
+from tests.platform_world import frame, record
+
+HERE, THERE = Address("10.0.0.1", 1), Address("10.0.0.2", 2)
+
+
+def line(most: int = 4) -> lines.Line:
+    return lines.Line(250.0, 30000.0, most)
+
+
+def kinds(actions: list[lines.Action]) -> list[str]:
+    return [type(action).__name__ for action in actions]
+
+
+# ---- Lines ------------------------------------------------------------------------------------------------
+def test_a_set_up_leaves_alone_on_its_connection_while_there_is_room() -> None:
+    box = line(2)
+    assert box.handle(0, lines.Want(1)) == [lines.Open(1, 250.0)]
+    assert box.handle(0, lines.Want(2)) == [lines.Open(2, 250.0)]
+    assert box.handle(1, lines.Up(1)) == [lines.Use(1, 1)]
+    assert box.handle(1, lines.Up(2)) == [lines.Use(2, 2)]
+    assert box.handle(2, lines.Want(3)) == [lines.Use(1, 3)]  # no room for more: shared
+    for conn in (1, 1, 2):
+        box.handle(3, lines.Freed(conn))
+    assert kinds(box.handle(4, lines.Want(4))) == ["Use"]  # idle ones are used again
+
+
+def test_a_connection_that_is_not_up_in_time_or_refused_fails_one_waiting_set_up() -> None:
+    box = line()
+    box.handle(0, lines.Want(1))
+    box.handle(0, lines.Want(2))
+    assert box.handle(10, lines.Down(1, refused=True)) == [lines.Unreached(1)]
+    assert box.handle(249, lines.Tick()) == []
+    assert box.handle(250, lines.Tick()) == [lines.Shut(2), lines.Unreached(2)]
+    assert box.handle(260, lines.Up(2)) == [lines.Shut(2)]  # too late
+
+
+def test_a_taken_back_set_up_does_not_leave() -> None:
+    box = line()
+    box.handle(0, lines.Want(1))
+    box.handle(1, lines.Unwant(1))
+    assert box.handle(2, lines.Up(1)) == []
+
+
+def test_quiet_with_work_out_is_tested_and_given_up() -> None:
+    box = line()
+    box.handle(0, lines.Want(1))
+    box.handle(0, lines.Up(1))
+    assert box.handle(lines.PING_AFTER_MS - 1, lines.Tick()) == []
+    assert box.handle(lines.PING_AFTER_MS, lines.Tick()) == [lines.Ping(1)]
+    assert kinds(box.handle(lines.PING_AFTER_MS + 1, lines.Want(2))) == ["Open"]  # perhaps dead: not used
+    after = lines.PING_AFTER_MS + lines.PONG_WITHIN_MS
+    assert lines.Shut(1) in box.handle(after, lines.Tick())
+
+
+def test_a_test_that_is_passed_keeps_the_connection() -> None:
+    box = line()
+    box.handle(0, lines.Want(1))
+    box.handle(0, lines.Up(1))
+    box.handle(1000, lines.Tick())
+    box.handle(1001, lines.Heard(1))
+    assert box.handle(1800, lines.Tick()) == []
+    assert box.any_up == 1
+
+
+def test_a_broken_connection_proves_nothing_and_a_refused_one_that_the_process_is_gone() -> None:
+    box = line()
+    box.handle(0, lines.Want(1))
+    box.handle(0, lines.Up(1))
+    box.handle(5, lines.Freed(1))
+    assert box.handle(5, lines.Standing(1)) == []
+    assert box.handle(10, lines.Down(1)) == [lines.Open(2, 250.0)]
+    assert box.handle(11, lines.Up(2)) == [lines.Ping(2)]
+    assert box.handle(20, lines.Down(2)) == [lines.Open(3, 250.0)]
+    assert box.handle(21, lines.Down(3, refused=True)) == [lines.Lost("refused")]
+
+
+def test_a_refusal_beside_a_connection_that_is_up_is_no_death() -> None:
+    box = line()
+    box.handle(0, lines.Want(1))
+    box.handle(0, lines.Up(1))
+    box.handle(0, lines.Standing(1))
+    box.handle(1, lines.Want(2))
+    assert box.handle(2, lines.Down(2, refused=True)) == [lines.Unreached(2)]
+
+
+def test_silence_ends_what_played_there_within_the_time_owed() -> None:
+    box = line()
+    box.handle(0, lines.Standing(3))
+    box.handle(0, lines.Up(1))
+    lost = None
+    now = 0.0
+    while lost is None and now < 20000:
+        now += 100
+        for action in box.handle(now, lines.Tick()):
+            if isinstance(action, lines.Lost):
+                lost = now
+    assert lost is not None and lost <= 6000
+
+
+def test_a_box_off_the_list_is_not_reached_again() -> None:
+    box = line()
+    box.handle(0, lines.Want(1))
+    box.handle(0, lines.Up(1))
+    box.handle(5, lines.Freed(1))
+    box.handle(5, lines.Standing(1))
+    box.handle(6, lines.Gone())
+    assert box.handle(10, lines.Down(1)) == [lines.Lost("gone")]
+    box.handle(10, lines.Standing(0))
+    assert box.unused
+
+
+def test_idle_connections_are_closed_before_the_box_does() -> None:
+    box = line(8)
+    for k in range(1, 6):
+        box.handle(0, lines.Want(k))
+    for k in range(1, 6):
+        box.handle(0, lines.Up(k))
+    for k in range(1, 6):
+        box.handle(1, lines.Freed(k))
+    assert kinds(box.handle(lines.SPARE_IDLE_MS + 1, lines.Tick())) == ["Shut"] * 3
+    assert box.handle(17000, lines.Tick()) == []
+    assert kinds(box.handle(18001, lines.Tick())) == ["Shut"] * 2
+    assert not box.conns
+
+
+@given(st.lists(st.tuples(st.sampled_from("wurfdhstgk"), st.integers(1, 6)), max_size=120))
+def test_a_line_never_loses_a_set_up_nor_uses_a_dead_connection(steps: list[tuple[str, int]]) -> None:
+    """Each wanted set-up is used, unreached, taken back or waits; only connections that are up are used."""
+    box = line(3)
+    up: set[int] = set()
+    opening: set[int] = set()
+    wants: set[int] = set()
+    now, key = 0.0, 0
+
+    def look(actions: list[lines.Action]) -> None:
+        for action in actions:
+            match action:
+                case lines.Open(conn, _):
+                    opening.add(conn)
+                case lines.Use(conn, k):
+                    assert conn in up
+                    wants.remove(k)
+                case lines.Unreached(k):
+                    wants.remove(k)
+                case lines.Shut(conn):
+                    up.discard(conn)
+                    opening.discard(conn)
+                case lines.Ping(conn):
+                    assert conn in up
+
+    for what, n in steps:
+        now += 40.0
+        match what:
+            case "w":
+                key += 1
+                wants.add(key)
+                look(box.handle(now, lines.Want(key)))
+            case "u" if opening:
+                conn = min(opening)
+                opening.discard(conn)
+                up.add(conn)
+                look(box.handle(now, lines.Up(conn)))
+            case "r" if opening:
+                conn = max(opening)
+                opening.discard(conn)
+                look(box.handle(now, lines.Down(conn, refused=True)))
+            case "f" if up:
+                look(box.handle(now, lines.Freed(max(up))))
+            case "d" if up:
+                conn = min(up)
+                up.discard(conn)
+                look(box.handle(now, lines.Down(conn)))
+            case "h" if up:
+                look(box.handle(now, lines.Heard(min(up))))
+            case "s":
+                look(box.handle(now, lines.Standing(n - 1)))
+            case "t":
+                now += 300.0 * n
+                look(box.handle(now, lines.Tick()))
+            case "g":
+                look(box.handle(now, lines.Reach()))
+            case "k" if wants:
+                taken_back = max(wants)
+                wants.discard(taken_back)
+                look(box.handle(now, lines.Unwant(taken_back)))
+        assert len(box.conns) <= 3
+    now += 10000
+    for _ in range(4):
+        now += 300
+        look(box.handle(now, lines.Tick()))
+    if not up:
+        # nothing waits for ever without a connection on its way
+        assert not box.waiting or opening
+
+
+# ---- Feed -------------------------------------------------------------------------------------------------
+def heard(*data: bytes) -> feed.Heard:
+    return feed.Heard(tuple(feed.Reader(2, 2, 4).feed(b"".join(data))))
+
+
+def opened(number: int = 1) -> feed.Feed:
+    made = feed.Feed(HERE, number, 5)
+    assert made.start()[0] == feed.Connect(HERE)
+    ask = made.handle(0, feed.Opened())[0]
+    assert ask == feed.Ask(number.to_bytes(8, "big"))
+    return made
+
+
+def told(actions: list[feed.Action]) -> list[int]:
+    return [action.told.number for action in actions if isinstance(action, feed.Tell)]
+
+
+def later(actions: list[feed.Action]) -> feed.Later:
+    return [action for action in actions if isinstance(action, feed.Later)][-1]
+
+
+def test_events_are_told_once_and_in_order() -> None:
+    made = opened()
+    one = frame(2, 2, record(7, "10.0.0.7:5060", 1))
+    two = frame(3, 2, record(7, "10.0.0.7:5060", 2))
+    assert told(made.handle(1, heard(one, one, two, one))) == [2, 3]
+    assert told(made.handle(2, heard(frame(1, 1, record(8, "10.0.0.8:5060"))))) == []  # an old list
+    assert told(made.handle(2, heard(frame(9, 1, record(8, "10.0.0.8:5060"))))) == [9]
+
+
+def test_a_gap_is_asked_for_again_from_the_last_event_held() -> None:
+    made = opened()
+    actions = made.handle(1, heard(frame(3, 2, record(7, "10.0.0.7:5060"))))
+    assert told(actions) == [] and feed.Drop() in actions and made.number == 1
+    [connect, _] = made.handle(30, feed.Due(later(actions).turn))
+    assert connect == feed.Connect(HERE)
+    assert made.handle(31, feed.Opened())[0] == feed.Ask((1).to_bytes(8, "big"))
+
+
+def test_gaps_that_do_not_close_bring_the_whole_list_for_once() -> None:
+    made = opened()
+    now = 0.0
+    for _ in range(feed.WHOLE_AFTER):
+        actions = made.handle(now, heard(frame(5, 2, record(7, "10.0.0.7:5060"))))
+        now += 600
+        made.handle(now, feed.Due(later(actions).turn))
+        ask = made.handle(now, feed.Opened())[0]
+    assert ask == feed.Ask(bytes(8))
+    assert told(made.handle(now, heard(frame(1, 1, record(7, "10.0.0.7:5060"))))) == [1]
+
+
+def test_silence_is_noticed_well_inside_the_time_in_which_events_count_as_told() -> None:
+    made = opened()
+    timer = feed.Later(feed.SILENT_MS, made._turn)
+    now = 0.0
+    for _ in range(5):  # empty frames keep it alive
+        now += 1000
+        made.handle(now, heard(frame(1, 0)))
+        while timer.delay_ms <= now:
+            again = made.handle(timer.delay_ms, feed.Due(timer.turn))
+            timer = feed.Later(timer.delay_ms + later(again).delay_ms, later(again).turn)
+    actions = made.handle(timer.delay_ms, feed.Due(timer.turn))
+    if feed.Drop() not in actions:
+        timer = feed.Later(timer.delay_ms + later(actions).delay_ms, later(actions).turn)
+        actions = made.handle(timer.delay_ms, feed.Due(timer.turn))
+    assert feed.Drop() in actions and timer.delay_ms - now <= 2000
+
+
+def test_waits_grow_are_bounded_and_differ_between_directors() -> None:
+    waits = []
+    for seed in (1, 2):
+        made = feed.Feed(HERE, 1, seed)
+        made.start()
+        mine = []
+        for _ in range(12):
+            actions = made.handle(0, feed.Closed())
+            mine.append(later(actions).delay_ms)
+            made.handle(0, feed.Due(later(actions).turn))
+        assert max(mine) <= feed.LONGEST_WAIT_MS * 1.25 and mine[0] < 30
+        waits.append(mine)
+    assert waits[0] != waits[1]
+
+
+def test_a_connection_that_never_comes_up_is_given_up() -> None:
+    made = feed.Feed(HERE, 1, 1)
+    timer = later(made.start())
+    assert feed.Drop() in made.handle(feed.OPEN_MS, feed.Due(timer.turn))
+    assert made.handle(800, feed.Opened()) == []  # of the one that was dropped
+
+
+def test_a_new_address_is_gone_to_at_once_and_twice_running() -> None:
+    made = opened(4)
+    assert made.handle(1, feed.Moved(HERE)) == []
+    for address in (THERE, HERE):
+        actions = made.handle(1, feed.Moved(address))
+        assert actions[:2] == [feed.Drop(), feed.Connect(address)]
+    assert made.handle(2, feed.Opened())[0] == feed.Ask((4).to_bytes(8, "big"))
+    assert made.handle(feed.OPEN_MS, feed.Due(1)) == []  # a timer of the old connection
+
+
+def test_an_unreadable_feed_is_asked_again() -> None:
+    made = opened()
+    assert feed.Drop() in made.misread()
+    assert made.misread() == []
+
+
+# ---- Doors and the stop -----------------------------------------------------------------------------------
+def test_silent_connections_go_first_and_in_time() -> None:
+    doors = limits.Doors(3)
+    for conn in (1, 2, 3):
+        assert doors.opened(0, conn) is None
+    doors.heard(1, 1, proven=True, half=False)
+    assert doors.opened(2, 4) == 2  # the oldest that has said nothing
+    doors.closed(2)
+    assert doors.overdue(limits.UNPROVEN_MS - 1) == []
+    assert doors.overdue(limits.UNPROVEN_MS) == [3]
+    assert limits.UNPROVEN_MS < 3000
+
+
+def test_among_proven_ones_the_longest_quiet_without_a_session_goes() -> None:
+    doors = limits.Doors(2)
+    for conn in (1, 2):
+        doors.opened(0, conn)
+        doors.heard(conn, conn, proven=True, half=False)
+    doors.sessions(1, 1)
+    assert doors.opened(5, 3) == 2
+    doors.closed(2)
+    doors.heard(6, 3, proven=True, half=False)
+    doors.sessions(3, 1)
+    assert doors.opened(7, 4) == 4  # all others hold sessions
+    doors.sessions(1, -1)
+    assert doors.opened(8, 5) == 4
+
+
+def test_half_a_message_is_waited_for_only_so_long() -> None:
+    doors = limits.Doors(9)
+    doors.opened(0, 1)
+    doors.heard(10, 1, proven=True, half=False)
+    doors.heard(5000, 1, proven=False, half=True)
+    doors.heard(5900, 1, proven=False, half=True)  # more of it is not the end of it
+    assert doors.overdue(5000 + limits.HALF_MS) == [1]
+    doors.heard(5950, 1, proven=True, half=False)
+    assert doors.overdue(9000) == []
+
+
+@pytest.mark.parametrize(
+    ("waited", "unanswered", "ends"), [(600, 0, False), (949, 0, False), (950, 1, False), (950, 0, True)]
+)
+def test_a_stop_waits_for_late_requests_and_for_answers(waited: float, unanswered: int, ends: bool) -> None:
+    assert limits.may_end(1000 + waited, 1000, unanswered) is ends
--- /dev/null
+++ b/tests/test_platform_sockets.py
@@ -0,0 +1,420 @@
+"""A platform director on loopback sockets between stand-in viewers, boxes and coordinator."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+import uvloop
+
+from foxlift.platform import lines
+from foxlift.platform.settings import read
+from foxlift.platform.transport import PlatformDirector
+from tests.platform_world import (
+    StandInBox,
+    StandInCoordinator,
+    Viewer,
+    config,
+    finish_line,
+    member,
+    record,
+    rtsp_answer,
+    rtsp_request,
+    start_line,
+)
+
+
+def free_address() -> str:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+def name(number: int) -> str:
+    return f"{number:016x}"
+
+
+class Scene:
+    """A director and the parties round it."""
+
+    def __init__(
+        self, director: PlatformDirector, boxes: list[StandInBox], feed: StandInCoordinator, path: Path
+    ):
+        self.director, self.boxes, self.feed, self.path = director, boxes, feed, path
+        self.address = f"{director.config.listen.host}:{director.config.listen.port}"
+
+    async def viewer(self) -> Viewer:
+        return await Viewer.connect(self.address)
+
+    def box_of(self, tag: str) -> StandInBox:
+        return next(box for box in self.boxes if "SETUP" in box.methods(tag))
+
+
+@asynccontextmanager
+async def scene(path: Path, boxes: int = 2, **more: Any) -> AsyncIterator[Scene]:
+    feed = await StandInCoordinator().start()
+    stand_ins = [await StandInBox().start() for _ in range(boxes)]
+    members = [member(k + 1, box.address, cell=k % 4) for k, box in enumerate(stand_ins)]
+    file = path / "config.json"
+    file.write_bytes(config(members, feed.address, free_address(), **more))
+    director = PlatformDirector(read(file.read_bytes()), str(file), asyncio.get_running_loop())
+    errors: list[dict[str, Any]] = []
+    asyncio.get_running_loop().set_exception_handler(lambda _, context: errors.append(context))
+    await director.start()
+    try:
+        yield Scene(director, stand_ins, feed, file)
+    finally:
+        await director.close()
+        feed.stop()
+        for box in stand_ins:
+            await box.stop()
+        await asyncio.sleep(0)
+    assert not errors, errors
+
+
+def play(test: Callable[[], Awaitable[None]]) -> None:
+    async def run() -> None:
+        await test()
+
+    uvloop.run(run())
+
+
+def test_a_session_from_set_up_to_release_on_sockets(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path) as world:
+            viewer = await world.viewer()
+            viewer.send(start_line(name(1), "paid"))
+            started = await viewer.answer(name(1))
+            assert started is not None and started["verb"] == "STARTED"
+            assert started["blob"] == f"box\r\n{name(1)}\r\nm=audio 1 RTP/AVP 0\r\n"
+            box = world.box_of(name(1))
+            for writer in box.writers:
+                writer.write(rtsp_request("TEARDOWN", name(1), "Reason: cause=16\r\n"))
+            over = await viewer.answer(name(1))
+            assert over is not None and (over["verb"], over["rc"]) == ("FINISH", 16)
+            assert not any(
+                v for k, v in world.director.core.sizes().items() if "box" not in k and k != "connections"
+            )
+
+    play(test)
+
+
+def test_spoilt_answers_cost_their_own_session_only(tmp_path: Path) -> None:
+    """Noise, wrong lengths, 3 GB, a header without end: each fails its own paid set-up, others play on."""
+    spoilt = [
+        b"\x00\xff\x13noise\r\n\r\n",
+        rtsp_answer(200, name(1), b"body that is cut short").replace(b"Length: 22", b"Length: 9"),
+        rtsp_answer(200, name(1), b"x").replace(b"Length: 1", b"Length: 3000000000"),
+        rtsp_answer(200, name(1), b"x").replace(b"Length: 1", b"Length: -7"),
+        b"RTSP/1.0 200 " + b"h" * 20000,
+    ]
+
+    async def test() -> None:
+        async with scene(tmp_path) as world:
+            viewer = await world.viewer()
+            held: list[asyncio.StreamWriter] = []
+            for box in world.boxes:
+                box.behave = lambda tag, body, writer: bool(held.append(writer)) or True
+            viewer.send(start_line(name(77), opts={"left": "60000"}))
+            other = world.boxes[0] if "SETUP" in world.boxes[0].methods(name(77)) else None
+            await world.boxes[0].until(lambda: True)
+            for k, data in enumerate(spoilt, 1):
+                tag = name(k)
+                for box in world.boxes:
+                    box.behave = lambda t, body, writer, d=data, own=tag: (
+                        t == own and (writer.write(d) or True)
+                    )
+                viewer.send(start_line(tag, "paid", opts={"left": "60000"}))
+                answer = await viewer.answer(tag)
+                assert answer is not None and (answer["verb"], answer["rc"]) == ("FINISH", 41)
+            for box in world.boxes:
+                box.behave = None
+            assert other is None or world.director.core.sessions
+            viewer.send(start_line(name(50)))
+            answer = await viewer.answer(name(50))
+            assert answer is not None and answer["verb"] == "STARTED"
+
+    play(test)
+
+
+def test_bad_viewers_are_closed_and_good_ones_served_meanwhile(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path, sockets=128) as world:
+            good = await world.viewer()
+            for bad in (
+                b"\xff\x00\n",
+                b"x" * 70000,
+                b'{"verb":"START"}\n',
+                b"[" * 15000 + b"\n",
+                b"GET / HTTP/1.1\r\n\r\n",
+            ):
+                viewer = await world.viewer()
+                viewer.send(bad)
+                assert await viewer.read() is None
+            half = await world.viewer()
+            half.send(start_line(name(1))[:40])
+            half.close()
+            good.send(start_line(name(9)))
+            first = await good.answer(name(9))
+            assert first is not None and first["verb"] == "STARTED"
+            silent = [await world.viewer() for _ in range(200)]  # more than there is room for
+            good.send(start_line(name(2)))
+            answer = await good.answer(name(2))
+            assert answer is not None and answer["verb"] == "STARTED"
+            for viewer in silent:  # each is closed in time
+                assert await viewer.read() is None
+
+    play(test)
+
+
+def test_sixty_megabytes_in_one_line_are_not_kept(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path) as world:
+            viewer = await world.viewer()
+            try:
+                for _ in range(60):
+                    viewer.send(b"y" * 1_000_000)
+                    await viewer.writer.drain()
+            except ConnectionError:
+                pass
+            assert await viewer.read() is None
+            assert world.director.count["viewer unreadable"] == 1
+
+    play(test)
+
+
+def test_a_viewer_that_does_not_read_is_not_read_from(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path) as world:
+            deaf = await world.viewer()
+            sock = deaf.writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            deaf.reader._transport.pause_reading()  # type: ignore[attr-defined]
+            echo = b'{"verb":"ECHO","tag":"%s","opts":{},"rc":0}\n' % name(1).encode() * 20000
+            deaf.writer.write(echo)
+            good = await world.viewer()
+            for k in range(20):
+                good.send(start_line(name(k)))
+                answer = await good.answer(name(k))
+                assert answer is not None and answer["verb"] == "STARTED"
+            [held] = [
+                v
+                for v in world.director._viewers.values()
+                if v.transport and v.transport.get_write_buffer_size()
+            ]
+            assert held.transport is not None and held.transport.get_write_buffer_size() < 300_000
+
+    play(test)
+
+
+def test_a_box_that_dies_releases_its_sessions_and_refuses_nothing_else(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path) as world:
+            viewer = await world.viewer()
+            for k in range(1, 9):
+                viewer.send(start_line(name(k)))
+                answer = await viewer.answer(name(k))
+                assert answer is not None and answer["verb"] == "STARTED"
+            dead = world.box_of(name(1))
+            mine = {name(k) for k in range(1, 9) if "SETUP" in dead.methods(name(k))}
+            await dead.stop()
+            over = set()
+            while over != mine:
+                message = await viewer.read()
+                assert message is not None and (message["verb"], message["rc"]) == ("FINISH", 41)
+                over.add(message["tag"])
+
+    play(test)
+
+
+def test_a_reset_connection_with_sessions_is_opened_again_and_hears_their_end(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path) as world:
+            viewer = await world.viewer()
+            viewer.send(start_line(name(1)))
+            await viewer.answer(name(1))
+            box = world.box_of(name(1))
+            before = len(box.writers)
+            for writer in box.writers:
+                writer.transport.abort()
+            await box.until(lambda: len(box.writers) > before)  # its test came on a new connection
+            box.writers[-1].write(rtsp_request("TEARDOWN", name(1), "Reason: cause=41\r\n"))
+            over = await viewer.answer(name(1))
+            assert over is not None and over["rc"] == 41
+
+    play(test)
+
+
+def test_a_silent_box_costs_its_set_up_no_more_than_its_time_and_is_found_out(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path) as world:
+            viewer = await world.viewer()
+            for box in world.boxes:
+                box.behave = lambda tag, body, writer: tag == name(1)  # never answers that one
+            viewer.send(start_line(name(1), "paid", opts={"left": "150"}))
+            answer = await viewer.answer(name(1))
+            assert answer is not None and (answer["verb"], answer["rc"]) == ("FINISH", 41)
+            box = world.box_of(name(1))
+            await box.until(lambda: "TEARDOWN" in box.methods(name(1)))
+
+    play(test)
+
+
+def test_a_release_finds_its_viewer_on_another_connection_or_the_next(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path) as world:
+            first = await world.viewer()
+            for k in (1, 2):
+                first.send(start_line(name(k)))
+                await first.answer(name(k))
+            first.close()
+            while world.director._viewers:
+                await asyncio.sleep(0.005)
+            box = world.box_of(name(1))
+            box.writers[-1].write(rtsp_request("TEARDOWN", name(1), "Reason: cause=16\r\n"))
+            while not world.director._owed:
+                await asyncio.sleep(0.005)
+            second = await world.viewer()
+            second.send(start_line(name(3)))
+            seen = [await second.read(), await second.read()]
+            assert {(m["tag"], m["verb"]) for m in seen if m} == {(name(1), "FINISH"), (name(3), "STARTED")}
+            world.box_of(name(2)).writers[-1].write(rtsp_request("TEARDOWN", name(2), "Reason: cause=16\r\n"))
+            over = await second.answer(name(2))
+            assert over is not None and over["verb"] == "FINISH"
+
+    play(test)
+
+
+def test_drains_are_kept_and_a_new_coordinator_is_heard(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path) as world:
+            await world.feed.connected.wait()
+            assert world.feed.asked == [1]
+            world.feed.tell(2, 2, record(1, world.boxes[0].address, state=1, cell=0))
+            while world.director.core._boxes[1].status.name != "DRAINING":
+                await asyncio.sleep(0.002)
+            viewer = await world.viewer()
+            for k in range(1, 7):
+                viewer.send(start_line(name(k)))
+                answer = await viewer.answer(name(k))
+                assert answer is not None and answer["verb"] == "STARTED"
+            assert not [m for m, _, _ in world.boxes[0].got if m == "SETUP"]
+            other = await StandInCoordinator().start()
+            other.frames = [(2, 2, b""), (3, 2, record(1, world.boxes[0].address, state=0, cell=0))]
+            raw = json.loads(world.path.read_bytes())
+            good = dict(raw, coordinator=other.address)
+            for data in (
+                b"{half",
+                json.dumps(dict(raw, coordinator="x")).encode(),
+                json.dumps(good).encode(),
+            ):
+                world.path.write_bytes(data)
+                world.director.reload()
+            await other.connected.wait()
+            assert other.asked == [2] and world.director.count["reloads"] == 1
+            while world.director.core._boxes[1].status.name != "READY":
+                await asyncio.sleep(0.002)
+            other.stop()
+
+    play(test)
+
+
+def test_a_connection_is_kept_for_each_box_with_sessions_only_and_descriptors_are_bounded(
+    tmp_path: Path,
+) -> None:
+    async def test() -> None:
+        async with scene(tmp_path, boxes=4, sockets=64) as world:
+            viewer = await world.viewer()
+            for box in world.boxes:
+                box.behave = lambda tag, body, writer: True  # hold all
+            for k in range(1, 200):
+                viewer.send(start_line(name(k), opts={"left": "700"}))
+            answers = [await viewer.read() for _ in range(199)]
+            assert all(m is not None and m["verb"] == "FINISH" for m in answers)
+            opened = sum(len(box.writers) for box in world.boxes)
+            most = int(64 * 0.3)
+            assert opened > 0 and all(
+                len(line.conns) <= most // 4 + 1 for line in world.director._lines.values()
+            )
+
+    play(test)
+
+
+# ---- As a process -----------------------------------------------------------------------------------------
+def process(path: Path, data: bytes) -> subprocess.Popen[bytes]:
+    file = path / "config.json"
+    file.write_bytes(data)
+    env = dict(os.environ, BALANCER_CONFIG=str(file))
+    return subprocess.Popen([sys.executable, "-m", "foxlift.platform"], env=env, stderr=subprocess.PIPE)
+
+
+@pytest.mark.parametrize("data", [b"{}", b"{", config([member(1, "127.0.0.1:7")], listen="127.0.0.1:x")])
+def test_a_bad_configuration_is_one_line_and_an_exit_code(tmp_path: Path, data: bytes) -> None:
+    with process(tmp_path, data) as director:
+        _, text = director.communicate(timeout=30)
+    assert director.returncode == 2 and len(text.splitlines()) == 1 and b"configuration" in text
+
+
+def test_little_is_imported_in_service() -> None:
+    code = "import foxlift.platform.transport, sys; print(*sys.modules)"
+    loaded = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    ).stdout.split()
+    for heavy in (
+        "click",
+        "structlog",
+        "lxml",
+        "joserfc",
+        "httptools",
+        "foxlift.ledger",
+        "foxlift.director.core",
+    ):
+        assert heavy not in loaded
+
+
+def test_stop_answers_what_came_and_what_still_comes(tmp_path: Path) -> None:
+    async def test() -> None:
+        box = await StandInBox().start()
+        address = free_address()
+        slow: list[tuple[str, bytes, asyncio.StreamWriter]] = []
+        box.behave = lambda tag, body, writer: bool(slow.append((tag, body, writer))) or True
+        director = process(tmp_path, config([member(1, box.address)], listen=address))
+        assert director.stderr is not None
+        loop = asyncio.get_running_loop()
+        assert b"serving" in await loop.run_in_executor(None, director.stderr.readline)
+        director.send_signal(signal.SIGHUP)
+        viewer = await Viewer.connect(address)
+        viewer.send(start_line(name(1), opts={"left": "60000"}))
+        await box.until(lambda: len(slow) == 1)
+        director.send_signal(signal.SIGTERM)
+        assert b"stopping" in await loop.run_in_executor(None, director.stderr.readline)
+        late = await Viewer.connect(address)
+        late.send(start_line(name(2), opts={"left": "60000"}))
+        await box.until(lambda: len(slow) >= 2)
+        for tag, body, writer in slow:
+            writer.write(rtsp_answer(200, tag, b"box\r\n" + body))
+        for at, tag in ((viewer, name(1)), (late, name(2))):
+            answer = await at.answer(tag)
+            assert answer is not None and answer["verb"] == "STARTED"
+        text = await loop.run_in_executor(None, director.stderr.read)
+        assert await loop.run_in_executor(None, director.wait) == 0
+        assert b"ended: asked 2" in text
+        director.stderr.close()
+        await box.stop()
+
+    play(test)
+
+
+def test_lost_after_is_inside_the_time_owed() -> None:
+    assert lines.LOST_MS + lines.REOPEN_MS < 8000
+    assert finish_line(name(1)).endswith(b"\n")
