--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -34,7 +34,8 @@
 SHED_TO = 0.97  # use of a pipe down to which they are lowered
 RAISE_GAP = 0.05  # how far under the mark for new sessions playing ones are raised: a gap, against flapping
 RAISE_AFTER_MS = 8000.0  # ms; room must have lasted so long: longer than news take to show a change
-RAISE_FIRST_MS = 4000.0  # ms; the same for a pipe just come to know: time to hear of it
+RAISE_NEWS = 3.0  # rounds of reports that take less than that are waited for instead
+RAISE_FIRST = 0.5  # the same for a pipe just come to know, as a part: time to hear of it
 RAISE_PART = 0.5  # part of a rack's room that all directors together raise into in one round
 RAISE_REPAYS = 4.0  # a raise must gain so many times what the change costs
 LEFT_S = 20.0  # s; expected rest of a session without a hint
@@ -42,7 +43,7 @@
 SHORT = 0.98  # share delivered under which sessions lose worth, and nodes tell of it
 LEAST_SHARE = 0.2  # a smaller share delivered is taken for this one: one lowering never overshoots by much
 SETTLE_MS = 1000.0  # ms; shares delivered are smoothed over about this time, so they show a change late
-RECOVER_MS = 30000.0  # ms; time in which an uplink that was found weak is believed to be as told again
+RECOVER = 3.75  # times that wait: an uplink that was found weak is by then believed to be as told again
 LEAN = 1.5  # how much more than an even part of the sessions on a node another director may have
 SHORT_LASTS_MS = 2500.0  # ms; notes of short delivery come each second; without more it is over
 AGREE = 0.15  # shares delivered that differ by less may have one cause: an uplink gives all the same
@@ -133,10 +134,6 @@
     sent_at: float = -1e18  # when this director last sent a set-up there
 
 
-def _pipe(kb: float, now: float) -> _Pipe:
-    return _Pipe(kb, kb, strained_at=now - RAISE_AFTER_MS + RAISE_FIRST_MS)
-
-
 def _mix(*numbers: int) -> int:
     """A stable 64-bit hash of whole numbers (splitmix64 steps)."""
     h = 0
@@ -158,6 +155,8 @@
         rungs = range(len(settings.ladder_kb))
         self.rates = [[kb * klass.rate_scale for kb in settings.ladder_kb] for klass in settings.classes]
         self.marks = [[self._mark(klass, rung) for rung in rungs] for klass in settings.classes]
+        news_ms = RAISE_NEWS * settings.report_every_ms or RAISE_AFTER_MS
+        self.raise_after = min(news_ms, RAISE_AFTER_MS)  # ms; how long room must have lasted
         self.rack_uses: dict[int, float] = {}  # by rack, while nothing has changed: many are placed in a row
         self.nodes: dict[int, _Node] = {}
         self.cells: dict[int, list[_Node]] = {}
@@ -272,7 +271,7 @@
         if rack.short_until > self.now or rack.kb == math.inf:
             return
         self.rack_uses.clear()
-        part = min((self.now - rack.learned_at) / RECOVER_MS, 1.0)
+        part = min((self.now - rack.learned_at) / (RECOVER * self.raise_after), 1.0)
         rack.learned_at = self.now
         rack.kb = max(rack.kb + part * (rack.told_kb - rack.kb), min(self._rack_kb(rack), rack.told_kb))
 
@@ -636,7 +635,7 @@
         Others see the same room, so each takes what its sessions are of all that is asked there, rounded to
         whole steps at random: with a part for each director, many directors would raise nothing.
         """
-        if self.now < rack.strained_at + RAISE_AFTER_MS:
+        if self.now < rack.strained_at + self.raise_after:
             return
         taken, luck = 0.0, self.random.random()
         nodes = [n for n in rack.nodes if n.low and self._may_raise(n)]
@@ -660,7 +659,7 @@
     def _may_raise(self, node: _Node) -> bool:
         """Whether its link has been well for long enough, and was heard of since its last raise."""
         link = node.link
-        return self.now - link.strained_at >= RAISE_AFTER_MS and link.moment > link.raised_at
+        return self.now - link.strained_at >= self.raise_after and link.moment > link.raised_at
 
     # ---- Guards -------------------------------------------------------------------------------------------
     def _list(self, event: fl.NodeList) -> None:
@@ -676,6 +675,9 @@
             for name in [name for name in self.nodes if name not in named]:
                 self._forget(name)
 
+    def _pipe(self, kb: float) -> _Pipe:
+        return _Pipe(kb, kb, strained_at=self.now - (1 - RAISE_FIRST) * self.raise_after)
+
     def _forget(self, name: int) -> None:
         node = self.nodes.pop(name, None)
         if node is not None:
@@ -690,9 +692,9 @@
         if info.status is fl.Status.GONE:
             return
         if node is None:
-            link = _pipe(max(info.weight * self.settings.link_kb_per_weight, 1.0), self.now)
+            link = self._pipe(max(info.weight * self.settings.link_kb_per_weight, 1.0))
             number = info.cell % max(self.settings.racks, 1)
-            rack = self.racks.setdefault(number, _pipe(self.settings.uplink_kb or math.inf, self.now))
+            rack = self.racks.setdefault(number, self._pipe(self.settings.uplink_kb or math.inf))
             node = self.nodes[info.node] = _Node(info, link, rack)
             link.nodes.append(node)
             rack.nodes.append(node)
