--- a/foxlift/platform/core.py
+++ b/foxlift/platform/core.py
@@ -69,6 +69,7 @@
     box_conn: int = 0  # that the attempt left on; 0: it has not left
     sent_at: float = 0.0
     stands_since: float = 0.0
+    moves: bool = False  # its viewer was told to come again
 
 
 class Core:
@@ -347,6 +348,7 @@
                 session = self.sessions.get(number)
                 if session is not None and session.state is _State.STANDS:
                     self._out.append(ev.ToViewer(session.conn, viewers.move(session.tag), anywhere=True))
+                    session.moves = True
                     self._attempt(at.CallOff(number))
             case fl.Log(text):
                 self._out.append(ev.Say("module", text))
@@ -420,7 +422,7 @@
         session = None if own is None else self.sessions.get(own[0])
         if session is not None and session.box_conn >= 0:
             if session.state is _State.STANDS:
-                data = rtsp.release(session.tag, MOVED)
+                data = rtsp.move(session.tag) if session.moves else rtsp.release(session.tag, MOVED)
                 self._out.append(ev.ToBox(node, session.box_conn, data))
             else:
                 # with its connection the set-up is given up anyhow
--- a/foxlift/platform/limits.py
+++ b/foxlift/platform/limits.py
@@ -23,6 +23,8 @@
 RESERVED = 16  # descriptors: the loop's own, the listener, the coordinator's old and new connection, logs
 LEAST_STAY_MS = 700.0  # after SIGTERM: so long requests may still arrive
 STAY_SLACK_MS = 250.0
+LOOK_MS = 1.5  # a loop that looks at its sockets again within this was not waiting for them
+LEAST_LAG_MS = 4.0  # less than this is the clock's own grain
 
 
 def viewer_connections(descriptors: int) -> int:
@@ -100,6 +102,29 @@
         ]
 
 
+@dataclass(slots=True)
+class Lag:
+    """How long bytes that are read now may have lain unread, because the loop was busy or stood still.
+
+    A viewer's time runs from its last byte, not from when this process came to read it. What a round of the
+    loop finds may have come at any moment since the round before began, if that kept it busy to its end.
+    """
+
+    polled_at: float = 0.0  # when the loop last looked at its sockets, ms
+    done_at: float = 0.0  # when it was last busy
+    lay: float = 0.0  # what this round's bytes may have waited for the round before
+
+    def look(self, polled_at: float, now: float) -> float:
+        """Something is read in the round that looked at its sockets then; how long it may have waited, ms."""
+        if polled_at != self.polled_at:
+            at_once = polled_at - self.done_at < LOOK_MS
+            self.lay = polled_at - self.polled_at if at_once else 0.0
+            self.polled_at = polled_at
+        self.done_at = now
+        waited = self.lay + now - polled_at
+        return waited if waited >= LEAST_LAG_MS else 0.0
+
+
 def may_end(now: float, stopping_since: float, unanswered: int) -> bool:
     """Whether a director that was told to stop owes nothing any more and nothing more can come."""
     return now - stopping_since >= LEAST_STAY_MS + STAY_SLACK_MS and unanswered == 0
--- a/foxlift/platform/transport.py
+++ b/foxlift/platform/transport.py
@@ -69,13 +69,14 @@
         """Bytes from the viewer."""
         if self.transport is None or self.transport.is_closing():
             return
+        waited = self._director.lag()
         try:
             for line in self._reader.feed(data):
                 message = viewers.read_line(line)
                 proven = message is not None and not isinstance(message, viewers.Senseless)
                 self._director.viewer_heard(self.number, proven, False)
                 if message is not None:
-                    self._director.tell(ev.FromViewer(self.number, message))
+                    self._director.tell(ev.FromViewer(self.number, message, waited))
                 if self.transport.is_closing():
                     return
         except viewers.Unreadable:
@@ -145,6 +146,7 @@
             self._director.box_lost(self, spoilt=True)
             self.transport.abort()
             return
+        self._director.lag()
         if messages:
             self._director.line(self.node, lines.Heard(self.number))
         for message in messages:
@@ -216,6 +218,7 @@
         self.core = Core(config)
         self.timeline = Timeline(loop, time.time(), STALL_MS, self._stalled)
         self.doors = limits.Doors(limits.viewer_connections(config.sockets))
+        self._lag = limits.Lag()
         self.coordinator: CoordinatorConnection | None = None
         self.ended: asyncio.Future[None] = loop.create_future()
         self._feed = feed.Feed(config.coordinator, config.known_number, config.seed)
@@ -274,8 +277,13 @@
             self._stopping_since = self.timeline.now()
             self.log.say("stopping", f"{self.core.unanswered} set-ups unanswered")
 
+    def lag(self) -> float:
+        """How long what is read now may have lain unread, ms."""
+        return self._lag.look(self._loop.time() * 1000, time.monotonic() * 1000)
+
     def _tick(self) -> None:
         now = self.timeline.now()
+        self.lag()
         for number in self.doors.overdue(now):
             self.count["viewer overdue"] += 1
             self._viewers[number].close()
--- a/tests/test_platform_core.py
+++ b/tests/test_platform_core.py
@@ -11,6 +11,7 @@
 from platform_world import config, finish_line, member, rtsp_answer, rtsp_request, start_line
 
 from foxlift import interface as fl
+from foxlift.logic import Director
 from foxlift.platform import events as ev
 from foxlift.platform import rtsp, viewers
 from foxlift.platform.core import Core
@@ -22,12 +23,14 @@
 class World:
     """A core, its clock and timers, and what it sent."""
 
-    def __init__(self, boxes: dict[int, int] | None = None, **settings: Any) -> None:
+    def __init__(
+        self, boxes: dict[int, int] | None = None, make: type[Director] = Director, **settings: Any
+    ) -> None:
         boxes = BOXES if boxes is None else boxes
         members = [member(n, f"10.0.0.{n}:5060", cell) for n, cell in boxes.items()]
         self.config = read(config(members, **settings))
         self.events: list[fl.Event] = []
-        self.core = Core(self.config, trace=lambda now, event, actions: self.events.append(event))
+        self.core = Core(self.config, make, trace=lambda now, event, actions: self.events.append(event))
         self.now = 1_000_000.0
         self.timers: list[tuple[float, int, ev.Event]] = []
         self.order = 0
@@ -313,6 +316,21 @@
     assert len(world.events) == told
 
 
+def test_a_move_tells_both_sides_and_owes_nothing_more() -> None:
+    class Mover(Director):
+        def handle(self, now: float, event: fl.Event) -> list[fl.Action]:
+            actions = super().handle(now, event)
+            return [*actions, fl.Move(1)] if isinstance(event, fl.Note) else actions
+
+    world = World(make=Mover)
+    node, conn = world.stand(name(1))
+    world.box(node, conn, rtsp_request("ANNOUNCE", name(1), "Fail-Word: link\r\nX-Reading: 0.5\r\n"))
+    assert world.verbs(name(1)) == ["STARTED", "MOVE"]
+    assert [d.split(b" ")[0] for _, _, d in world.boxed] == [b"REDIRECT"]
+    world.box(node, conn, rtsp_request("TEARDOWN", name(1), "Reason: cause=31\r\n"))
+    assert world.verbs(name(1)) == ["STARTED", "MOVE"] and not world.core.sessions
+
+
 def test_a_lost_box_releases_what_played_there_and_nothing_else() -> None:
     world = World()
     places = {name(k): world.stand(name(k))[0] for k in range(1, 9)}
--- a/tests/test_platform_lines.py
+++ b/tests/test_platform_lines.py
@@ -362,3 +362,14 @@
     if boxes <= descriptors * limits.BOX_PART:
         assert viewers + each * boxes + limits.RESERVED <= descriptors
     assert each >= 1 and (descriptors < 256 or viewers >= descriptors / 3)
+
+
+def test_what_lay_unread_while_the_loop_was_busy_is_known() -> None:
+    lag = limits.Lag()
+    assert lag.look(1000.0, 1000.2) == 0.0  # woken by it
+    assert lag.look(1050.0, 1050.1) == 0.0
+    assert lag.look(1050.0, 1090.0) == pytest.approx(40.0)  # found with others, which took 40 ms
+    assert lag.look(1090.0, 1090.1) == pytest.approx(40.1)  # may have come since the look before
+    assert lag.look(1200.0, 1200.1) == 0.0
+    assert lag.look(1200.0, 1200.2) == 0.0
+    assert lag.look(1700.0, 1700.1) == 0.0  # idle for long, then woken
