Releases are not lost with a closing connection: idle ones to boxes retire, viewers confirm

Also possible, and not kept apart by the figures: a release written to a viewer's connection as that broke.

Change: an idle connection to a box is kept until shortly before the box would close it, then only written to no more and read until the box has closed. A release that its viewer has not confirmed (FINISHED) when its connection ends is told again on another one. A viewer's connection with 40 messages that make no sense is closed after the answer to the last: one sent 4,200 in 16 s and took the processor from the others.

--- a/foxlift/platform/core.py
+++ b/foxlift/platform/core.py
@@ -37,6 +37,7 @@
 MOVED = 31  # cause of a release at a box whose viewer is not owed one
 HANDOVER_MS = 3000.0  # how long a handed-over session waits for the list to name its box
 MAX_HANDOVERS = 4096  # of those at once
+MAX_UNHEARD = 256  # releases on one connection that its viewers have not confirmed
 
 _REFUSALS = {453: fl.Outcome.FULL, 454: fl.Outcome.NEVER_SENT, 504: fl.Outcome.RESET}  # others: ERROR
 _RELEASES = {16: fl.Outcome.OK, 31: fl.Outcome.CANCELLED}  # others: RESET
@@ -92,6 +93,8 @@
         self._columns = config.columns
         self._by_tag: dict[str, _Session] = {}
         self._by_conn: dict[int, set[int]] = {}  # open set-ups of a viewer's connection
+        self._conns: set[int] = set()  # viewers' connections that are open and were heard of
+        self._unheard: dict[int, dict[str, bytes]] = {}  # releases by connection and id, not confirmed yet
         self._handovers: dict[str, tuple[int, viewers.Start]] = {}  # by id: box is not on the list yet
         self._boxes: dict[int, fl.NodeInfo] = {}
         self._addresses: dict[int, Address] = {}
@@ -113,6 +116,7 @@
             "sessions": len(self.sessions),
             "ids": len(self._by_tag),
             "connections": len(self._by_conn),
+            "unheard": sum(len(unheard) for unheard in self._unheard.values()),
             "handovers": len(self._handovers),
             "boxes": len(self._boxes),
             "attempts": self.attempts.live,
@@ -172,11 +176,16 @@
     # ---- Viewers ------------------------------------------------------------------------------------------
     def _from_viewer(self, event: ev.FromViewer) -> None:
         conn, message = event.conn, event.message
+        self._conns.add(conn)
         match message:
             case viewers.Start():
                 self._start(conn, message, event.waited_ms)
             case viewers.Finish(tag, cause):
                 self._finish(conn, tag, cause)
+            case viewers.Heard(tag):
+                unheard = self._unheard.get(conn)
+                if unheard is not None and unheard.pop(tag, None) is not None and not unheard:
+                    del self._unheard[conn]
             case viewers.Echo(tag):
                 self._out.append(ev.ToViewer(conn, viewers.echoed(tag, self.listed)))
             case viewers.Senseless(tag, _):
@@ -185,6 +194,7 @@
 
     def _turn_down(self, conn: int, tag: str) -> None:
         """An error for what can't be served; its id may be that of another's session, which keeps its own."""
+        self._out.append(ev.Blame(conn))
         held = self._by_tag.get(tag)
         if held is None or held.conn != conn:
             self._out.append(ev.ToViewer(conn, viewers.finish(tag, SENSELESS)))
@@ -287,11 +297,16 @@
             self.sessions.pop(session.number, None)
 
     def _viewer_gone(self, conn: int) -> None:
+        self._conns.discard(conn)
         for number in sorted(self._by_conn.get(conn, ())):
             session = self.sessions.get(number)
             if session is not None:
                 self.counts["left with its connection"] += 1
                 self._withdraw(session)
+        # what was written as the connection broke may not have arrived: its viewer hears it on another
+        for data in self._unheard.pop(conn, {}).values():
+            self.counts["released again"] += 1
+            self._out.append(ev.ToViewer(conn, data, anywhere=True))
 
     def _answered(self, session: _Session) -> None:
         """Its one answer is given, or not owed any more."""
@@ -437,7 +452,7 @@
             self.counts["ended, " + told.outcome.value] += 1
             if told.outcome is not fl.Outcome.CANCELLED:
                 cause = NORMAL if told.outcome is fl.Outcome.OK else CUT
-                self._out.append(ev.ToViewer(session.conn, viewers.finish(session.tag, cause), anywhere=True))
+                self._over(session, cause)
             self._forget(session)
         else:
             self.counts["attempt " + told.outcome.value] += 1
@@ -450,6 +465,16 @@
         session.box_conn = 0
         self._tell(fl.Ended(told.session, told.node, told.attempt, told.outcome, final, elapsed, told.load))
 
+    def _over(self, session: _Session, cause: int) -> None:
+        data = viewers.finish(session.tag, cause)
+        self._out.append(ev.ToViewer(session.conn, data, anywhere=True))
+        if session.conn not in self._conns:
+            return
+        unheard = self._unheard.setdefault(session.conn, {})
+        unheard[session.tag] = data
+        if len(unheard) > MAX_UNHEARD:  # of viewers that confirm nothing: the oldest has long arrived
+            del unheard[next(iter(unheard))]
+
     def _stands(self, node: int, more: int) -> None:
         self._standing[node] += more
         count = self._standing[node]
--- a/foxlift/platform/events.py
+++ b/foxlift/platform/events.py
@@ -114,6 +114,13 @@
     more: int
 
 
+@dataclass(frozen=True, slots=True)
+class Blame:
+    """What came on a viewer's connection made no sense."""
+
+    conn: int
+
+
 @dataclass(frozen=True, slots=True)
 class SendSetUp:
     """Send a set-up to a box when there is a connection: its bytes are then asked for by `Core.take`."""
@@ -190,6 +197,7 @@
 Action = (
     ToViewer
     | ViewerSessions
+    | Blame
     | SendSetUp
     | StopSetUp
     | ToBox
--- a/foxlift/platform/limits.py
+++ b/foxlift/platform/limits.py
@@ -7,6 +7,7 @@
     connection  event                        what is done
     unproven    older than UNPROVEN_MS       shut
     any         half a message for HALF_MS   shut
+    any         MOST_BLAMED without sense    shut
     any         one too many connects        shut the oldest unproven; else the longest quiet one without a
                                              session; else the one that came
 """
@@ -23,6 +24,7 @@
 RESERVED = 16  # descriptors: the loop's own, the listener, the coordinator's old and new connection, logs
 LEAST_STAY_MS = 700.0  # after SIGTERM: so long requests may still arrive
 STAY_SLACK_MS = 250.0
+MOST_BLAMED = 40  # messages without sense, each answered, after which a connection is shut
 LOOK_MS = 1.5  # a loop that looks at its sockets again within this was not waiting for them
 LEAST_LAG_MS = 4.0  # less than this is the clock's own grain
 
@@ -44,6 +46,7 @@
     half_since: float = 0.0  # 0: no half message
     heard_at: float = 0.0
     sessions: int = 0  # open or standing
+    blamed: int = 0  # messages that made no sense
 
 
 @dataclass(slots=True)
@@ -80,6 +83,14 @@
         if door is not None:
             door.sessions = max(door.sessions + more, 0)
 
+    def blame(self, conn: int) -> bool:
+        """A message on the connection made no sense; whether to shut it, after the answer to it."""
+        door = self.doors.get(conn)
+        if door is None:
+            return False
+        door.blamed += 1
+        return door.blamed == MOST_BLAMED
+
     def closed(self, conn: int) -> None:
         """The connection is over."""
         self.doors.pop(conn, None)
--- a/foxlift/platform/lines.py
+++ b/foxlift/platform/lines.py
@@ -8,7 +8,7 @@
     UP          quiet with work out       UP       ping
     UP          ping not answered         (none)   shut: what is out on it is lost
     UP          Down                      (none)   open another if sessions play there
-    UP          idle for long             (none)   shut, before the box does while a set-up is being written
+    UP          idle for long             (none)   retire, before the box does while a set-up is being written
 
 One set-up at a time leaves on a connection while there is room for more connections: an answer that cannot
 be read spoils all that is out on its connection, and so costs one session only.
@@ -29,8 +29,6 @@
 REOPEN_MS = 250.0  # between tries to reach a silent box that sessions play on
 CONNECT_MS = 1000.0  # for a connection to come up, where the settings name no time
 IDLE_PART = 0.6  # of the box's own idle time: after that this side closes first
-SPARE = 2  # idle connections kept without regard to their use
-SPARE_IDLE_MS = 4000.0  # idle connections beyond those are closed after so long
 
 
 # ---- Events -----------------------------------------------------------------------------------------------
@@ -140,6 +138,13 @@
     conn: int
 
 
+@dataclass(frozen=True, slots=True)
+class Retire:
+    """Write nothing more and close when the box has: a release may be on its way."""
+
+    conn: int
+
+
 @dataclass(frozen=True, slots=True)
 class Lost:
     """Every session that played there is over."""
@@ -147,7 +152,7 @@
     why: str
 
 
-Action = Open | Use | Unreached | Ping | Shut | Lost
+Action = Open | Use | Unreached | Ping | Shut | Retire | Lost
 
 
 @dataclass(slots=True)
@@ -226,7 +231,12 @@
         best: int | None = None
         for name, conn in self.conns.items():
             # one that is being tested may be dead; one long idle may be closed by the box at this moment
-            if conn.up and not conn.out and not conn.pinged_at and now - conn.used_at < self._idle(1.0):
+            if (
+                conn.up
+                and not conn.out
+                and not conn.pinged_at
+                and now - conn.used_at < self.idle_ms * IDLE_PART
+            ):
                 best = name if best is None or conn.heard_at >= self.conns[best].heard_at else best
         if best is None and len(self.conns) >= self.most:
             ups = [(c.out, name) for name, c in self.conns.items() if c.up and not c.pinged_at]
@@ -291,12 +301,8 @@
             self.heard_at = now
         return [self._open(now)] if first and not self.conns else []
 
-    def _idle(self, part: float) -> float:
-        return self.idle_ms * IDLE_PART * part
-
     def _tick(self, now: float) -> list[Action]:
         actions: list[Action] = []
-        idle = 0
         ups = [c for c in self.conns.values() if c.up]
         latest = max((c.heard_at for c in ups), default=0.0)
         for name, conn in list(self.conns.items()):
@@ -311,12 +317,9 @@
             minds = conn.out or (self.standing and conn.heard_at >= latest)
             if quiet and minds and not conn.pinged_at:
                 actions += self._test(now, name, conn)
-            if not conn.out and not minds:
-                idle += 1
-                unused = now - conn.used_at
-                if unused >= self._idle(1.0) or (idle > SPARE and unused >= SPARE_IDLE_MS):
-                    del self.conns[name]
-                    actions.append(Shut(name))
+            if not conn.out and not minds and now - conn.used_at >= self.idle_ms * IDLE_PART:
+                del self.conns[name]
+                actions.append(Retire(name))
         if self.standing:
             if now - self.heard_at >= LOST_MS:
                 self.heard_at = now
--- a/foxlift/platform/transport.py
+++ b/foxlift/platform/transport.py
@@ -24,6 +24,7 @@
 TICK_MS = 100.0  # how often connections are looked over
 STALL_MS = 20.0  # a loop that stood still for longer looks at its sockets before its timers
 MOST_OWED = 4096  # releases kept for the next connection from viewers
+RETIRE_MS = 2000.0  # how long a retired connection to a box is still read
 OWED_MS = 8000.0  # how long
 MOST_TO_SEND = 4096  # messages kept for a box that no connection is up to
 SUMMARY_MS = 15000.0  # between two lines on what happened so far
@@ -125,7 +126,7 @@
     def __init__(self, director: PlatformDirector, node: int, number: int) -> None:
         self._director, self.node, self.number = director, node, number
         self._reader = rtsp.Reader()
-        self._spoilt = False
+        self._spoilt = self._retired = False
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -161,7 +162,7 @@
     def send(self, data: bytes) -> bool:
         """Write; False where the connection is over."""
         transport = self.transport
-        if transport is None or transport.is_closing():
+        if transport is None or transport.is_closing() or self._retired:
             return False
         if transport.get_write_buffer_size() > MOST_UNSENT:
             transport.abort()
@@ -169,6 +170,12 @@
         transport.write(data)
         return True
 
+    def retire(self) -> None:
+        """Write nothing more; what the box has still to say is read until it closes."""
+        if self.transport is not None and not self.transport.is_closing():
+            self._retired = True
+            self.transport.write_eof()
+
     def close(self) -> None:
         """Close at once."""
         if self.transport is not None:
@@ -366,6 +373,11 @@
                     self._share_out()
             case ev.BoxGone(node):
                 self.line(node, lines.Gone())
+            case ev.Blame(conn):
+                viewer = self._viewers.get(conn)
+                if self.doors.blame(conn) and viewer is not None:
+                    self.count["viewer blamed"] += 1
+                    viewer.close()
             case ev.Say(what, detail):
                 self.log.say(what, detail)
 
@@ -422,6 +434,12 @@
                         box.send(rtsp.ping(f"{node:08x}{conn & 0xFFFFFFFF:08x}"))
                 case lines.Shut(conn):
                     self._shut_box(node, conn)
+                case lines.Retire(conn):
+                    box = self._boxes.get((node, conn))
+                    if box is not None:
+                        self.count["box connections retired"] += 1
+                        box.retire()
+                        self.timeline.later(RETIRE_MS, box.close)
                 case lines.Lost(why):
                     self.log.say("box lost", f"s-{node:08x}, {why}")
                     self.tell(ev.BoxLost(node, why))
--- a/foxlift/platform/viewers.py
+++ b/foxlift/platform/viewers.py
@@ -56,6 +56,13 @@
     tag: str
 
 
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """A release was heard."""
+
+    tag: str
+
+
 @dataclass(frozen=True, slots=True)
 class Senseless:
     """A set-up that can be read and cannot be served; `why` names the field."""
@@ -64,7 +71,7 @@
     why: str
 
 
-Event = Start | Finish | Echo | Senseless
+Event = Start | Finish | Echo | Heard | Senseless
 
 
 class _Line(msgspec.Struct):
@@ -132,7 +139,9 @@
             return Finish(tag, cause if 0 < cause < 128 else 16)
         case "ECHO":
             return Echo(tag)
-        case "FINISHED" | "PENDING" | "ECHOED" | "NOTICE":
+        case "FINISHED":
+            return Heard(tag)
+        case "PENDING" | "ECHOED" | "NOTICE":
             return None
     raise Unreadable("no such message")
 
