--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -42,6 +42,7 @@
 LEFT_LEAST_S = 4.0  # s; least expected rest of a session whose hint has run out
 SHORT = 0.98  # share delivered under which sessions lose worth, and nodes tell of it
 LEAST_SHARE = 0.2  # a smaller share delivered is taken for this one: one lowering never overshoots by much
+LEAST_KB = 1.0  # kB a second; no pipe is taken to give less, as shares of it are worked out
 SETTLE_MS = 1000.0  # ms; shares delivered are smoothed over about this time, so they show a change late
 RECOVER = 2.0  # times that wait: an uplink that was found weak is by then believed to be as told again
 LEAN = 1.5  # how much more than an even part of the sessions on a node another director may have
@@ -151,7 +152,7 @@
     def __init__(self, settings: fl.Settings, seed: int) -> None:
         self.settings = settings
         self.random = random.Random(seed)
-        self.best_yield = max(self._yield(klass, klass.floor) for klass in settings.classes)
+        self.best_yield = max(1e-9, *(self._yield(klass, klass.floor) for klass in settings.classes))
         rungs = range(len(settings.ladder_kb))
         self.rates = [[kb * klass.rate_scale for kb in settings.ladder_kb] for klass in settings.classes]
         self.marks = [[self._mark(klass, rung) for rung in rungs] for klass in settings.classes]
@@ -204,7 +205,7 @@
             return
         use = load.link if load.link is not None else load.link_up_to_one
         for pipe, value in ((node.link, use), (node.rack, load.uplink)):
-            if value is not None:
+            if value is not None and 0 <= value < math.inf:
                 self._tell(pipe, value, self.now - REPORT_AGE_MS)
         self._raise(node.rack)
 
@@ -213,13 +214,15 @@
         pipe.tell(use, moment)
         if pipe.nodes[0].link is pipe:
             self.news = min(self.news + 1, USUAL_OF)
-            self.usual_use += (use - self.usual_use) / self.news
+            self.usual_use += (min(use, 1 / LEAST_SHARE) - self.usual_use) / self.news
 
     def _note(self, note: fl.Note) -> None:
         session = self.sessions.get(note.session)
         node = self.nodes.get(note.node)
+        if not 0 <= note.value < math.inf:
+            return
         if note.kind is fl.NoteKind.RUNG and session is not None and session.node is not None:
-            self._count(session, int(note.value))
+            self._count(session, min(int(note.value), len(self.settings.ladder_kb) - 1))
         if node is None or session is None:
             return
         moment = self.now - self.settings.note_late_ms
@@ -257,11 +260,12 @@
             pipe, share = rack, max([share, *also])
         pipe.short_until = self.now + SHORT_LASTS_MS
         self.rack_uses.clear()
-        use = 1 / max(share, LEAST_SHARE)
+        share = max(share, LEAST_SHARE)  # 0 where links are cut off: it would leave the uplink no size
+        use = 1 / share
         if pipe is link or rack.use is not None:
             pipe.tell(use, moment)
         elif moment > rack.shed_at + SETTLE_MS:
-            rack.kb = min(rack.kb, max(share * self._rack_kb(rack), rack.own_kb * share))
+            rack.kb = max(min(rack.kb, share * max(self._rack_kb(rack), rack.own_kb)), LEAST_KB)
             rack.learned_at = self.now
         if moment > pipe.shed_at + SETTLE_MS:
             self._shed(pipe, use)
@@ -676,6 +680,7 @@
                 self._forget(name)
 
     def _pipe(self, kb: float) -> _Pipe:
+        kb = kb if kb >= LEAST_KB else LEAST_KB
         return _Pipe(kb, kb, strained_at=self.now - (1 - RAISE_FIRST) * self.raise_after)
 
     def _forget(self, name: int) -> None:
@@ -692,9 +697,10 @@
         if info.status is fl.Status.GONE:
             return
         if node is None:
-            link = self._pipe(max(info.weight * self.settings.link_kb_per_weight, 1.0))
+            link = self._pipe(info.weight * self.settings.link_kb_per_weight)
             number = info.cell % max(self.settings.racks, 1)
-            rack = self.racks.setdefault(number, self._pipe(self.settings.uplink_kb or math.inf))
+            uplink_kb = self.settings.uplink_kb
+            rack = self.racks.setdefault(number, self._pipe(uplink_kb if uplink_kb > 0 else math.inf))
             node = self.nodes[info.node] = _Node(info, link, rack)
             link.nodes.append(node)
             rack.nodes.append(node)
--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -22,7 +22,7 @@
 from foxlift import interface as fl
 from foxlift.platform import events as ev
 from foxlift.platform.settings import read
-from foxlift.platform.transport import PlatformDirector
+from foxlift.platform.transport import PlatformDirector, ViewerConnection
 from foxlift.standins.platform import (
     StandInBox,
     StandInCoordinator,
@@ -45,6 +45,10 @@
     return f"{number:016x}"
 
 
+def held(world: Scene) -> list[ViewerConnection]:
+    return list(world.director._viewers.values())
+
+
 class Scene:
     """A director and the parties round it."""
 
@@ -226,6 +230,24 @@
     play(test)
 
 
+def test_a_viewer_that_does_not_read_cannot_keep_a_closed_connection(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path) as world:
+            deaf = await world.viewer()
+            deaf.reader._transport.pause_reading()  # type: ignore[attr-defined]
+            echo = b'{"verb":"ECHO","tag":"%s","opts":{},"rc":0}\n' % name(1).encode() * 1000
+            while not any(v.transport and v.transport.get_write_buffer_size() for v in held(world)):
+                deaf.writer.write(echo)
+                await asyncio.sleep(0.001)
+            [connection] = held(world)
+            connection.close()
+            while held(world):
+                await asyncio.sleep(0.01)
+            deaf.writer.transport.abort()
+
+    play(test)
+
+
 def test_a_box_that_dies_releases_its_sessions_and_refuses_nothing_else(tmp_path: Path) -> None:
     async def test() -> None:
         async with scene(tmp_path) as world:
