A fault of the module costs no request its answer: the driver answers and goes on

The module's tables kept what the event was about.

Change: foxlift/decide/driver.py, shared by both directors, keeps account of what each request is owed (a table at its top). After a fault it carries out what the module had decided before it raised, answers a request that waits (Fail if it is paid and may have run, else Refuse), tells the module of what was given up, tells an end again without its report, a list line by line, lets a raised Wake come again, and says so at most ten times a second. An action that cannot be carried out no longer drops those after it; a set-up among them is called off and counts as one that may have run. In the HTTP director a parked place that is gone is told to the module also where no attempt is out.

Measured: 63 tests (faults before, amid and after each kind of event, both directors; HTTP on loopback sockets).

--- a/foxlift/director/core.py
+++ b/foxlift/director/core.py
@@ -61,7 +61,7 @@
         self.config, self.run = config, run
         self.settings = module_settings(config)
         self.module = make(self.settings, config.seed)
-        self._driver = Driver(self.module, self._carry_out, trace)
+        self._driver = Driver(self.module, self._carry_out, self._fault, trace)
         self.claims = cl.Claims()
         self.attempts = at.Attempts(f"{config.name}.{run}")
         self.watch = ListWatch(cached, config.box_list.retry_ms, config.seed)
@@ -216,13 +216,16 @@
         if session is None:
             return
         self._claim(cl.Lapsed(number))
+        self._tell(fl.Withdrawn(number))
         if self.attempts.holds(number):
             session.withdrawn = True  # its attempt ends with the answer that told this
-            self._tell(fl.Withdrawn(number))
         else:
             self._over(session, ran=True)
 
     # ---- The module ---------------------------------------------------------------------------------------
+    def _fault(self, words: str) -> None:
+        self._out.append(ev.Say("exception", detail=words))
+
     def _tell(self, event: fl.Event) -> None:
         self._driver.tell(self._now, event)
 
--- a/foxlift/platform/core.py
+++ b/foxlift/platform/core.py
@@ -85,7 +85,7 @@
     ) -> None:
         self.settings = config.module
         self.module = make(config.module, config.seed)
-        self._driver = Driver(self.module, self._carry_out, trace)
+        self._driver = Driver(self.module, self._carry_out, self._fault, trace)
         self.attempts = at.Attempts("")
         self.sessions: dict[int, _Session] = {}
         self.counts: Counter[str] = Counter()  # what happened how often; for the last line and for tests
@@ -121,6 +121,7 @@
             "boxes": len(self._boxes),
             "attempts": self.attempts.live,
             "ghosts": self.attempts.ghosts,
+            "requests": self._driver.unanswered,
             "module sessions": len(self.module.sessions),
             "module boxes": len(self.module.nodes),
         }
@@ -331,6 +332,10 @@
             self._out.append(ev.ViewerSessions(session.conn, -1))
 
     # ---- The module ---------------------------------------------------------------------------------------
+    def _fault(self, words: str) -> None:
+        self.counts["exceptions"] += 1
+        self._out.append(ev.Say("exception", words))
+
     def _tell(self, event: fl.Event) -> None:
         self._driver.tell(self._now, event)
 
--- /dev/null
+++ b/tests/test_module_faults.py
@@ -0,0 +1,368 @@
+"""A module that raises costs no viewer its answer, in both directors, and serves on.
+
+The faults are put in at each kind of event: before the module has done anything, after it has done everything
+(what it decided is then believed by it), and at the places where it is half done.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+from platform_world import config
+from sockets import World as Sockets
+from sockets import run
+from test_platform_core import World, at_line, name
+
+from foxlift import interface as fl
+from foxlift.decide.driver import FAULTS_EVERY_MS, Driver
+from foxlift.logic import Director, _Pipe, _Session
+from foxlift.platform import events as ev
+from foxlift.platform.core import FAILED, REFUSED
+from foxlift.platform.settings import Address, Box, Told, read
+from foxlift.standins.platform import finish_line, rtsp_answer, rtsp_request, start_line
+
+EVENTS = (fl.NodeList, fl.Ask, fl.Started, fl.Ended, fl.Note, fl.Resumed, fl.Withdrawn, fl.Wake)
+
+
+class Fault(Exception):
+    """What the module raises here."""
+
+
+class Faulty(Director):
+    """Raises while `sick` says so of an event: before or after it was taken in, or amid the work for it."""
+
+    sick: Callable[[fl.Event], bool] = staticmethod(lambda event: False)
+    when = "before"
+    event: fl.Event = fl.Wake(0)
+
+    def handle(self, now: float, event: fl.Event) -> list[fl.Action]:
+        self.event = event
+        if self.when == "before" and self.sick(event):
+            raise Fault
+        actions = super().handle(now, event)
+        if self.when == "after" and self.sick(event):
+            raise Fault
+        return actions
+
+    def _amid(self, where: str) -> None:
+        if self.when == where and self.sick(self.event):
+            raise Fault
+
+    def _place(self, session: _Session) -> bool:
+        self._amid("placing")
+        return super()._place(session)
+
+    def _count(self, session: _Session, rung: int) -> None:
+        self._amid("sending")
+        super()._count(session, rung)
+
+    def _raise(self, rack: _Pipe) -> None:
+        self._amid("raising")
+        super()._raise(rack)
+
+
+def faulty(world: World) -> Faulty:
+    module = world.core.module
+    assert isinstance(module, Faulty)
+    return module
+
+
+@dataclass
+class Sick:
+    """Of so many events of a kind."""
+
+    kind: type
+    left: int = 1
+
+    def __call__(self, event: fl.Event) -> bool:
+        if not isinstance(event, self.kind) or not self.left:
+            return False
+        self.left -= 1
+        return True
+
+
+def answers(world: World, tag: str) -> list[tuple[str, int | None]]:
+    """What a viewer was told of its request, whichever end of it."""
+    return [(m["verb"], m.get("rc")) for _, m in world.sent if m["tag"] == tag]
+
+
+def leave_all(world: World) -> None:
+    """Boxes start what comes, until nothing is asked for any more."""
+    for _ in range(20):
+        for node, conn, data in world.leave():
+            tag = data.split(b"Session: ")[1][:16].decode()
+            world.box(node, conn, rtsp_answer(200, tag, b"there\r\n"))
+        if not world.core.unanswered:
+            return
+        world.pass_time(100)
+
+
+def drain(world: World) -> tuple[Box, ...]:
+    """Every box's line, draining."""
+    boxes = world.config.known[0].boxes
+    return tuple(Box(replace(box.info, status=fl.Status.DRAINING), box.address) for box in boxes)
+
+
+def nothing_is_left(world: World) -> None:
+    """All that stands is ended by its viewers: no table, seat or rate keeps anything."""
+    for session in list(world.core.sessions.values()):
+        world.viewer(finish_line(session.tag))
+    world.pass_time(10000)
+    for conn in range(20):
+        world.tell(ev.ViewerGone(conn))
+    sizes = world.core.sizes()
+    del sizes["boxes"], sizes["module boxes"], sizes["ghosts"]
+    assert not any(sizes.values()), sizes
+    module = world.core.module
+    assert not module.seats and not module.held and not module.playing
+    for node in module.nodes.values():
+        assert not node.setting_up and not node.sessions
+        assert abs(node.link.own_kb) < 1e-6 and abs(node.playing_kb) < 1e-6
+
+
+@pytest.mark.parametrize("klass", ["paid", "free"])
+@pytest.mark.parametrize("kind", EVENTS)
+@pytest.mark.parametrize("when", ["before", "after"])
+def test_a_fault_at_any_kind_of_event_leaves_each_request_its_one_answer(
+    when: str, kind: type, klass: str
+) -> None:
+    world = World(make=Faulty)
+    module = faulty(world)
+    node, conn = world.stand(name(1), klass)
+    module.sick = sick = Sick(kind)
+    module.when = when
+    # a refusal of a box, a note, a list, a hand-over, one that leaves, one that ends, one held, one more
+    world.viewer(start_line(name(2), klass))
+    for box, out, _ in world.leave():
+        world.box(box, out, rtsp_answer(453, name(2), more="Link-State: x0:0.5\r\n"))
+    world.box(node, conn, rtsp_request("ANNOUNCE", name(1), "Fail-Word: link\r\nX-Reading: 0.5\r\n"))
+    lines = [Box(box.info, Address("10.0.0.9", 1 + k)) for k, box in enumerate(world.config.known[0].boxes)]
+    world.tell(ev.Listed(Told(2, False, tuple(lines[:2]))))
+    world.viewer(at_line(name(3), node), 2)
+    world.viewer(start_line(name(4), klass))
+    world.viewer(finish_line(name(4)))
+    leave_all(world)
+    world.pass_time(2000)
+    world.box(node, conn, rtsp_request("TEARDOWN", name(1), "Reason: cause=16\r\nLink-State: x0:0.5\r\n"))
+    world.viewer(start_line(name(5), klass))
+    leave_all(world)
+    world.tell(ev.Listed(Told(3, False, drain(world))))
+    world.viewer(start_line(name(7), klass))  # is held
+    world.pass_time(100)
+    world.tell(ev.Listed(Told(4, False, world.config.known[0].boxes)))
+    world.viewer(start_line(name(6), klass))
+    leave_all(world)
+    assert not sick.left  # it was brought about
+    assert answers(world, name(7)) in ([("STARTED", None)], [("FINISH", REFUSED)])
+    assert [a for a in answers(world, name(2)) if a[0] in ("STARTED", "FINISH")] in (
+        [("STARTED", None)],
+        [("FINISH", REFUSED)],
+    )
+    assert answers(world, name(1)) == [("STARTED", None), ("FINISH", 16)]
+    assert answers(world, name(4)) == [("FINISHED", None)]
+    ends = [answers(world, name(n))[:1] for n in (5, 6)]
+    assert ends[1] == [("STARTED", None)] and ends[0] in ([("STARTED", None)], [("FINISH", REFUSED)])
+    nothing_is_left(world)
+
+
+@pytest.mark.parametrize(("klass", "cause"), [("paid", FAILED), ("free", REFUSED)])
+@pytest.mark.parametrize(("when", "times"), [("before", 1), ("before", 9), ("placing", 9)])
+def test_what_may_have_run_is_failed_and_never_refused(when: str, times: int, klass: str, cause: int) -> None:
+    world = World(make=Faulty)
+    module = faulty(world)
+    module.sick, module.when = Sick(fl.Ended, times), when
+    world.viewer(start_line(name(1), klass))
+    [(node, conn, _)] = world.leave()
+    world.tell(ev.BoxConnectionLost(node, conn))  # reset under the request
+    assert answers(world, name(1)) == [("FINISH", cause)]
+    assert not world.leave()
+    if times == 1 or when == "placing":  # a module that cannot be told of ends for good keeps them
+        nothing_is_left(world)
+
+
+@pytest.mark.parametrize("when", ["placing", "sending"])
+def test_a_request_that_the_module_cannot_place_is_refused_at_once_and_keeps_no_seat(when: str) -> None:
+    world = World(make=Faulty)
+    module = faulty(world)
+    module.sick, module.when = lambda event: isinstance(event, fl.Ask), when
+    world.viewer(start_line(name(1), "paid"))
+    assert answers(world, name(1)) == [("FINISH", REFUSED)] and not world.leave()
+    module.when = "never"
+    world.viewer(start_line(name(2), "paid"))
+    leave_all(world)
+    assert answers(world, name(2)) == [("STARTED", None)]
+    nothing_is_left(world)
+
+
+def test_an_end_whose_report_cannot_be_taken_in_is_told_without_it() -> None:
+    """As on the fleet's day: the report of one box made the module raise, and its viewer was forgotten."""
+    world = World(make=Faulty)
+    module = faulty(world)
+    module.sick, module.when = lambda event: isinstance(event, fl.Ended), "raising"
+    world.viewer(start_line(name(1), "paid"))
+    [(node, conn, _)] = world.leave()
+    world.box(node, conn, rtsp_answer(453, name(1), more="Link-State: x0:0.5\r\n"))
+    leave_all(world)  # on to the next holder, as if the report had not come
+    assert answers(world, name(1)) == [("STARTED", None)]
+    assert world.core.counts["exceptions"] == 1
+    nothing_is_left(world)
+
+
+def test_requests_that_are_held_are_answered_when_their_wake_raises_and_later_ones_wake() -> None:
+    world = World(make=Faulty)
+    module = faulty(world)
+    world.tell(ev.Listed(Told(2, False, drain(world))))
+    module.sick = Sick(fl.Wake)
+    for n in (1, 2):
+        world.viewer(start_line(name(n), "paid"))
+    assert not world.sent
+    world.pass_time(60)
+    assert [answers(world, name(n)) for n in (1, 2)] == [[("FINISH", REFUSED)]] * 2
+    world.viewer(start_line(name(3), "free"))
+    world.tell(ev.Listed(Told(3, False, world.config.known[0].boxes)))
+    world.pass_time(120)
+    leave_all(world)
+    assert answers(world, name(3)) == [("STARTED", None)]
+    nothing_is_left(world)
+
+
+def test_one_line_of_a_list_that_raises_does_not_cost_the_others() -> None:
+    world = World(make=Faulty)
+    module = faulty(world)
+    boxes = world.config.known[0].boxes
+    bad = boxes[1].info.node
+    module.sick = lambda event: (
+        isinstance(event, fl.NodeList) and any(line.node == bad for line in event.nodes)
+    )
+    world.tell(ev.Listed(Told(2, True, boxes[1:])))
+    assert set(module.nodes) == {box.info.node for box in boxes[1:]}
+    assert boxes[0].info.node not in module.nodes  # a whole list leaves out those that are gone
+
+
+def test_what_was_decided_before_the_fault_is_carried_out_and_no_older_decision_again() -> None:
+    done: list[fl.Action] = []
+    module = Faulty(read(config([])).module, 1)
+    driver = Driver(module, done.append, fault=print)
+    old: list[fl.Action] = [fl.Log("old")]
+    module.out = old
+    module.sick = lambda event: True
+    driver.tell(0, fl.Withdrawn(1))
+    assert not done and module.out is old
+    module.when = "after"
+    module.handlers[fl.Withdrawn] = lambda event: module.out.append(fl.Log("new"))
+    driver.tell(1, fl.Withdrawn(1))
+    assert done == [fl.Log("new")]
+
+
+def test_a_set_up_that_could_not_be_carried_out_counts_as_one_that_may_have_run() -> None:
+    world = World(make=Faulty)
+
+    def carry_out(action: fl.Action) -> None:
+        if isinstance(action, fl.SetUp):
+            raise Fault
+        world.core._carry_out(action)
+
+    world.core._driver._carry_out = carry_out
+    world.viewer(start_line(name(1), "paid"))
+    world.viewer(start_line(name(2), "free"))
+    assert answers(world, name(1)) == [("FINISH", FAILED)]
+    assert answers(world, name(2)) == [("FINISH", REFUSED)]
+    nothing_is_left(world)
+
+
+def test_a_set_up_that_raised_half_way_is_called_off_and_not_tried_again() -> None:
+    world = World(make=Faulty)
+
+    def carry_out(action: fl.Action) -> None:
+        world.core._carry_out(action)
+        if isinstance(action, fl.SetUp):
+            raise Fault
+
+    world.core._driver._carry_out = carry_out
+    world.viewer(start_line(name(1), "free"))
+    assert answers(world, name(1)) == [("FINISH", REFUSED)]
+    assert not world.leave() and world.core.counts["attempts"] == 1
+    assert world.core.counts["exceptions"] == 1
+    nothing_is_left(world)
+
+
+def test_an_attempt_that_is_out_keeps_its_request_through_faults() -> None:
+    world = World(make=Faulty)
+    module = faulty(world)
+    module.sick, module.when = Sick(fl.Ended), "after"
+    world.viewer(start_line(name(1), "paid"))
+    [(node, conn, _)] = world.leave()
+    world.box(node, conn, rtsp_answer(453, name(1), more="Link-State: x0:0.5\r\n"))
+    [(node, conn, _)] = world.leave()  # the module had sent it on before it raised
+    module.sick, module.when = Sick(fl.Wake), "before"
+    world.tell(fl.Wake(0))
+    world.box(node, conn, rtsp_answer(200, name(1), b"there\r\n"))
+    assert answers(world, name(1)) == [("STARTED", None)]
+    nothing_is_left(world)
+
+
+def test_a_lasting_fault_is_told_ten_times_a_second_and_counted() -> None:
+    said: list[str] = []
+    module = Faulty(read(config([])).module, 1)
+    module.sick = lambda event: True
+    driver = Driver(module, lambda action: None, said.append)
+    for ms in range(200):
+        driver.tell(ms, fl.Withdrawn(1))
+    assert len(said) == 200 / FAULTS_EVERY_MS
+    assert said[0].startswith("Withdrawn: Fault at test_module_faults.py:")
+    assert said[1].endswith(" 99 more before")
+
+
+@pytest.mark.parametrize("kind", [fl.NodeList, fl.Ask, fl.Started, fl.Ended, fl.Note, fl.Withdrawn, fl.Wake])
+@pytest.mark.parametrize("when", ["before", "after"])
+def test_players_have_one_answer_each_and_the_next_is_served(tmp_path: Path, when: str, kind: type) -> None:
+    """The same over HTTP, on sockets."""
+
+    async def test(world: Sockets) -> None:
+        module = world.director.core.module
+        assert isinstance(module, Faulty)
+        module.sick, module.when = Sick(kind), when
+        statuses = []
+        for claim in ("a", "b", "c"):
+            reply = await world.manifest(world.token(claim, "graded"))
+            statuses.append(reply.status)
+        if kind is fl.Withdrawn:
+            for box in world.fleet.boxes:
+                world.fleet.command("hang", box, True)
+            _, writer = await asyncio.open_connection("127.0.0.1", world.port)
+            token = world.token("left", "graded")
+            writer.write(f"GET /dash/t1/manifest.mpd?token={token} HTTP/1.1\r\nhost: x\r\n\r\n".encode())
+            await world.until(lambda: len(world.told(fl.Ask)) == 4)
+            writer.close()
+            await world.until(lambda: world.told(fl.Withdrawn))
+            for box in world.fleet.boxes:
+                world.fleet.command("hang", box, False)
+        if kind is fl.Ask:
+            assert statuses == [503 if when == "before" else 200, 200, 200]
+        else:
+            assert statuses == [200, 200, 200]
+        last = await world.manifest(world.token("z", "graded"))
+        assert last.status == 200 and world.set_ups("z") == 1
+
+    run(tmp_path, test, make=Faulty)
+
+
+def test_a_paid_attempt_that_may_have_run_fails_over_http_too(tmp_path: Path) -> None:
+    async def test(world: Sockets) -> None:
+        module: Any = world.director.core.module
+        module.sick = lambda event: isinstance(event, fl.Ended)
+        for box in world.fleet.boxes:
+            world.fleet.command("lose-answers", box, 1.0)
+        token = world.token("a", "graded")
+        assert (await world.manifest(token)).status in (502, 504)
+        for box in world.fleet.boxes:
+            world.fleet.command("lose-answers", box, 0.0)
+        assert (await world.manifest(token)).status == 502
+        assert world.set_ups("a") == 1
+
+    run(tmp_path, test, make=Faulty)
