Taps put faults between two processes: cut, hold, delay, slow, break, refuse, each way

The taps that rehearsals use are such relays already, without faults.

A connection that lost bytes stays dumb until it is reset, as TCP never skips any; a cut hides ends and resets too. Bytes are written down when they are passed on.

--- a/foxlift/standins/tap.py
+++ b/foxlift/standins/tap.py
@@ -1,18 +1,27 @@
-"""A tap: a loopback relay that writes down every byte it passes on, and when.
+"""A tap: a loopback relay that writes down every byte it passes on, with faults between the two on command.
 
 A record is one line of JSON, then the bytes: {"t": loop seconds, "tap": name, "c": connection, "k": kind,
 "n": length}. Kinds: `open`, `up` (from the asking side), `down` (from the answering side), `shut` (with `by`:
-the side that ended it) and `mark` (with `text`: what the rehearsal itself did).
+the side that ended it) and `mark` (with `text`: what the rehearsal itself did). Bytes are written down when
+they are passed on: what a fault keeps or loses was never on the other's socket.
+
+What each direction does to bytes is `foxlift.standins.ways`. A cut link still lets a connection be made as
+far as this relay, for on loopback the kernel answers for the listener: the asking side sees a connection that
+never says anything, as it would behind a wall that drops what passes.
 """
 
 from __future__ import annotations
 
 import asyncio
 import json
+import socket
+import struct
 from itertools import count
 from pathlib import Path
 from typing import Any, BinaryIO, cast
 
+from foxlift.standins import ways
+
 
 class Recorder:
     """Writes the records of all taps into one file, in the order in which things passed."""
@@ -43,75 +52,162 @@
         self.name, self.recorder, self.loop = name, recorder, loop
         self.port = 0
         self.target = 0
+        self.up = self.down = ways.Terms()  # what new connections begin with
         self._server: asyncio.Server | None = None
         self._sides: set[_Side] = set()
 
     async def listen(self) -> int:
-        """Bind; gives back the port."""
-        self._server = await self.loop.create_server(lambda: _Asking(self), "127.0.0.1", 0, backlog=1024)
+        """Bind; gives back the port, the same one each time."""
+        self._server = await self.loop.create_server(
+            lambda: _Asking(self), "127.0.0.1", self.port, backlog=1024
+        )
         self.port = cast(int, self._server.sockets[0].getsockname()[1])
         return self.port
 
-    def close(self) -> None:
-        if self._server is not None:
-            self._server.close()
+    # ---- Faults -------------------------------------------------------------------------------------------
+    def change(self, up: ways.Terms | None = None, down: ways.Terms | None = None) -> None:
+        """New terms for one direction or both, of connections that are there and that come."""
+        self.up, self.down = up or self.up, down or self.down
+        for side in list(self._sides):
+            side.change(self.up if side.kind == "up" else self.down)
+
+    def mend(self) -> None:
+        """Pass on as if nothing had been; connections that have lost bytes are reset."""
+        self.change(ways.Terms(), ways.Terms())
+        for side in list(self._sides):
+            if side.way.dumb:
+                side.reset()
+
+    def reset(self) -> None:
+        """Reset every connection."""
         for side in list(self._sides):
             side.abort()
 
+    def refuse(self) -> None:
+        """Take no new connection, as a process that is not there; `listen` takes them again."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    def close(self) -> None:
+        self.refuse()
+        self.reset()
+
 
 class _Side(asyncio.Protocol):
-    def __init__(self, tap: Tap) -> None:
-        self.tap = tap
+    def __init__(self, tap: Tap, kind: str) -> None:
+        self.tap, self.kind = tap, kind
         self.transport: asyncio.Transport | None = None
         self.other: _Side | None = None
         self.number = 0
-        self.kind = ""
+        self.way = ways.Way(tap.up if kind == "up" else tap.down)
+        self._reads = True  # whether its sender is read from
+        self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.tap._sides.add(self)
 
     def data_received(self, data: bytes) -> None:
-        self.tap.recorder.write(self.tap.name, self.number, self.kind, data)
-        if self.other is not None and self.other.transport is not None:
-            self.other.transport.write(data)
+        self._do(self.way.comes(self.tap.loop.time(), data))
+        self._read_on()
+
+    def eof_received(self) -> bool:
+        """It has sent all: the connection ends when that has passed."""
+        self._do(self.way.ends(self.tap.loop.time()))
+        return True
+
+    def change(self, terms: ways.Terms) -> None:
+        self._do(self.way.change(self.tap.loop.time(), terms))
+        self._read_on()
+
+    def _do(self, actions: list[ways.Action]) -> None:
+        for action in actions:
+            match action:
+                case ways.Pass(data):
+                    self.tap.recorder.write(self.tap.name, self.number, self.kind, data)
+                    if self.other is not None and self.other.transport is not None:
+                        self.other.transport.write(data)
+                case ways.End():
+                    if self.transport is not None:
+                        self.transport.close()
+                case ways.Sever():
+                    other = self.other
+                    if other is not None and other.transport is not None:
+                        other.transport.close()
+                    self.abort()
+                case ways.CallAgain(at):
+                    if self._timer is not None:
+                        self._timer.cancel()
+                    self._timer = self.tap.loop.call_at(at, self._due)
+
+    def _due(self) -> None:
+        self._timer = None
+        self._do(self.way.due(self.tap.loop.time()))
+        self._read_on()
+
+    def _read_on(self, writable: bool | None = None) -> None:
+        """Read from the sender only while there is room for what it sends."""
+        other = self.other
+        reads = not self.way.full and (other is None or not other.choked)
+        if reads != self._reads and self.transport is not None and not self.transport.is_closing():
+            self._reads = reads
+            if reads:
+                self.transport.resume_reading()
+            else:
+                self.transport.pause_reading()
+
+    choked = False  # whether this side takes no more bytes for now
 
     def pause_writing(self) -> None:
-        if self.other is not None and self.other.transport is not None:
-            self.other.transport.pause_reading()
+        self.choked = True
+        if self.other is not None:
+            self.other._read_on()
 
     def resume_writing(self) -> None:
-        if self.other is not None and self.other.transport is not None:
-            self.other.transport.resume_reading()
+        self.choked = False
+        if self.other is not None:
+            self.other._read_on()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.tap._sides.discard(self)
+        self.transport = None
+        if self._timer is not None:
+            self._timer.cancel()
         other, self.other = self.other, None
+        if other is None:
+            return
+        other.other = None
+        self.tap.recorder.write(self.tap.name, self.number, "shut", by=self.kind)
+        if self.way.terms.state is not ways.State.OPEN or self.way.dumb:
+            return  # what it sent in the end, its reset too, does not get through
+        if other.transport is not None:
+            if exc is None:
+                other.transport.close()
+            else:
+                other.transport.abort()
+
+    def reset(self) -> None:
+        """Reset both sides."""
+        other = self.other
+        self.abort()
         if other is not None:
-            other.other = None
-            self.tap.recorder.write(self.tap.name, self.number, "shut", by=self.kind)
-            if other.transport is not None:
-                if exc is None:
-                    other.transport.close()
-                else:
-                    other.transport.abort()
+            other.abort()
 
     def abort(self) -> None:
+        """Reset: nothing that is still to be sent is, and the peer hears of no orderly end."""
         if self.transport is not None:
+            sock = self.transport.get_extra_info("socket")
+            if sock is not None:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             self.transport.abort()
 
 
-class _Answering(_Side):
-    def __init__(self, tap: Tap) -> None:
-        super().__init__(tap)
-        self.kind = "down"
-
-
 class _Asking(_Side):
     def __init__(self, tap: Tap) -> None:
-        super().__init__(tap)
-        self.kind = "up"
-        self.early: list[bytes] = []
+        super().__init__(tap, "up")
+        self._early: list[bytes] = []
+        self._early_end = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -121,25 +217,37 @@
 
     def data_received(self, data: bytes) -> None:
         if self.other is None:
-            self.early.append(data)
+            self._early.append(data)
         else:
             super().data_received(data)
 
+    def eof_received(self) -> bool:
+        if self.other is None:
+            self._early_end = True
+            return True
+        return super().eof_received()
+
     async def _connect(self) -> None:
         assert self.transport is not None
+        if self.way.terms.state is ways.State.CUT:
+            self.way.dumb = True
+            return
         try:
-            _, other = await self.tap.loop.create_connection(
-                lambda: _Answering(self.tap), "127.0.0.1", self.tap.target
+            _, made = await self.tap.loop.create_connection(
+                lambda: _Side(self.tap, "down"), "127.0.0.1", self.tap.target
             )
         except OSError:
-            self.transport.abort()
+            if self.tap.down.state is ways.State.OPEN:
+                self.abort()
             return
-        other.number = self.number
-        if self.transport.is_closing():
-            other.abort()
+        made.number = self.number
+        if self.transport is None or self.transport.is_closing():
+            made.abort()
             return
-        self.other, other.other = other, self
+        self.other, made.other = made, self
         self.tap.recorder.write(self.tap.name, self.number, "open")
-        early, self.early = self.early, []
+        early, self._early = self._early, []
         for data in early:
-            self.data_received(data)
+            super().data_received(data)
+        if self._early_end:
+            super().eof_received()
