Directors' views of each other, without I/O: suspicion, refutation, runs, own health

Change: foxlift/peers/: SWIM with Lifeguard's local health over asks and answers, names from the settings only, beliefs ordered by run, incarnation and state, so that lost, doubled, late, replayed and foreign messages unlearn nothing; a later run under one's own name ends the earlier one. Absent peers are asked now and then, or a cut would last for good. kinship was set aside as it owns its sockets and clock. Nothing imports the package yet.

On the way: a miss on somebody suspected already counted against one's own health, and a refutation that was missed was never said again.

--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,247 @@
+"""Who is there, in virtual time: what must be found out, what must not be believed, and what it costs."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+import pytest
+from peers_world import Fleet
+
+from foxlift import peers as pr
+from foxlift.peers import view as vw
+from foxlift.peers.messages import MOST_UPDATES, write
+
+ALIVE, SUSPECTED, DEAD, LEFT = pr.State.ALIVE, pr.State.SUSPECTED, pr.State.DEAD, pr.State.LEFT
+
+
+def settled(fleet: Fleet) -> Fleet:
+    fleet.run(60_000, lambda: all(fleet.all_believe(name, ALIVE) for name in fleet.names))
+    assert all(fleet.all_believe(name, ALIVE) for name in fleet.names)
+    return fleet
+
+
+@pytest.mark.parametrize(("count", "seed"), [(2, 1), (9, 1), (9, 2), (9, 3), (60, 4)])
+def test_a_fleet_that_starts_at_once_knows_itself_and_a_death_is_known_to_all(count: int, seed: int) -> None:
+    fleet = settled(Fleet(count, seed))
+    fleet.kill("d1")
+    begin = fleet.now
+    took = fleet.run(60_000, lambda: fleet.all_believe("d1", DEAD)) - begin
+    assert fleet.all_believe("d1", DEAD) and took < 25_000
+    assert fleet.deaths() == {"d1"}
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_nobody_who_lives_is_believed_dead_on_a_bad_network(seed: int) -> None:
+    fleet = settled(Fleet(9, seed, loss=0.1, doubled=0.1))
+    fleet.run(120_000)
+    assert not fleet.deaths()
+
+
+def test_one_that_stands_still_is_told_of_its_death_and_refutes_it() -> None:
+    fleet = settled(Fleet(9))
+    fleet.members["d3"].still_until = fleet.now + 30_000
+    fleet.run(30_000)
+    assert fleet.all_believe("d3", DEAD)
+    fleet.run(30_000, lambda: fleet.all_believe("d3", ALIVE))
+    assert fleet.all_believe("d3", ALIVE)
+    assert fleet.deaths(fleet.now - 30_000 + 5_000) <= {"d3"}
+
+
+def wrongly_dead(make: type[pr.Peers], seed: int) -> int:
+    """How often a slow director suspected others: up to 350 ms late with all that it sends and hears."""
+    fleet = settled(Fleet(12, seed, make=make))
+    fleet.members["d0"].slow_ms = 350.0
+    fleet.run(90_000)
+    return sum(1 for _, by, c in fleet.changes if c.state is SUSPECTED and by == "d0")
+
+
+def test_a_director_that_is_slow_itself_suspects_others_less() -> None:
+    class Sure(pr.Peers):
+        def _feel(self, worse: int) -> None:
+            pass
+
+    with_health = sum(wrongly_dead(pr.Peers, seed) for seed in range(3))
+    without = sum(wrongly_dead(Sure, seed) for seed in range(3))
+    assert with_health * 2 < without
+
+
+def test_a_cut_has_two_halves_that_know_they_are_no_majority_or_are_and_heals() -> None:
+    fleet = settled(Fleet(9))
+    ones, others = set(fleet.names[:4]), set(fleet.names[4:])
+    fleet.part(ones, others)
+    fleet.run(60_000)
+    for name, member in fleet.members.items():
+        mine = ones if name in ones else others
+        assert set(member.view.there()) == mine
+        assert member.view.majority == (name in others)
+    fleet.cut.clear()
+    fleet.run(120_000, lambda: all(fleet.all_believe(name, ALIVE) for name in fleet.names))
+    assert all(fleet.all_believe(name, ALIVE) for name in fleet.names)
+
+
+def test_one_that_can_be_asked_by_others_only_is_not_believed_dead() -> None:
+    fleet = settled(Fleet(9))
+    fleet.part({"d0"}, {"d1"})  # each hears of the other by those between
+    fleet.run(60_000)
+    assert not fleet.deaths()
+
+
+def test_one_that_hears_and_is_not_heard_is_found_out() -> None:
+    fleet = settled(Fleet(9))
+    fleet.part({"d2"}, set(fleet.names) - {"d2"}, both=False)
+    fleet.run(60_000, lambda: fleet.all_believe("d2", DEAD))
+    assert fleet.all_believe("d2", DEAD) and fleet.deaths() <= {"d2"}
+
+
+def test_a_later_run_takes_the_name_and_the_earlier_one_is_told_to_stop() -> None:
+    fleet = settled(Fleet(5))
+    old = fleet.members["d1"]
+    fleet.start("d1", 2)  # the old process lives on somewhere, and is heard of no more
+    fleet.run(30_000, lambda: all(m.view.peers["d1"].run == 2 for n, m in fleet.members.items() if n != "d1"))
+    assert all(m.view.peers["d1"].run == 2 for n, m in fleet.members.items() if n != "d1")
+    late = pr.Ping("d1", 1, (pr.Update("d1", ALIVE, 1, 99), pr.Update("d2", DEAD, 1, 99)))
+    actions = fleet.members["d2"].view.handle(fleet.now, pr.Asked(1, late))
+    assert not actions and fleet.members["d2"].view.peers["d1"].run == 2
+    told = pr.Ping("d2", 1, (pr.Update("d1", ALIVE, 2, 0),))
+    assert old.view.handle(fleet.now, pr.Asked(1, told)) == [pr.Superseded(2)]
+    assert old.view.handle(fleet.now, pr.TimerDue(vw.Period())) == []
+
+
+def test_one_that_leaves_in_order_is_known_to_have_left_and_is_not_suspected() -> None:
+    fleet = settled(Fleet(9))
+    fleet._do("d4", fleet.members["d4"].view.handle(fleet.now, pr.Leave()))
+    fleet.run(500)
+    fleet.kill("d4")
+    fleet.run(30_000, lambda: fleet.all_believe("d4", LEFT))
+    assert fleet.all_believe("d4", LEFT) and not fleet.deaths()
+    fleet.start("d4", 2)
+    fleet.run(30_000, lambda: fleet.all_believe("d4", ALIVE))
+    assert fleet.all_believe("d4", ALIVE)
+
+
+def test_replayed_old_and_foreign_messages_change_nothing() -> None:
+    fleet = settled(Fleet(5))
+    fleet.kill("d1")
+    fleet.run(60_000)
+    view = fleet.members["d0"].view
+    before = {name: (p.run, p.incarnation, p.state) for name, p in view.peers.items()}
+    chance = random.Random(1)
+    for sender, to, body in chance.sample(fleet.wire, 300):
+        fleet.ask(sender, "d0" if to == "d0" else to, body, lambda answer: None)
+    nameless, negative = b'{"type":"ping"}', b'{"type":"ping","sender":"d2","run":-1}'
+    for body in (b"", b"{", b"[]", nameless, negative, b"\xff" * 99):
+        fleet.ask("d2", "d0", body, lambda answer: None)
+    stranger = pr.Ping("zz", 9, (pr.Update("d2", DEAD, 9, 9), pr.Update("zz", ALIVE, 9, 0)))
+    fleet.ask("d2", "d0", write(stranger), lambda answer: None)
+    fleet.run(1_000)
+    assert {name: (p.run, p.incarnation, p.state) for name, p in view.peers.items()} == before
+    assert view.handle(fleet.now, pr.Answered(10**6, pr.Ack("d2", 1))) == []
+
+
+def test_a_changed_number_of_directors_by_new_settings_one_after_another() -> None:
+    fleet = settled(Fleet(5))
+    new = frozenset(fleet.names[:4]) | {"d5"}
+    fleet.names = sorted(new)
+    for name in fleet.names[:4]:
+        fleet._do(name, fleet.members[name].view.handle(fleet.now, pr.Reconfigured(new)))
+        fleet.run(700)
+    fleet.kill("d4")
+    fleet.start("d5", 1)
+    fleet.run(30_000)
+    for name in fleet.names:
+        assert fleet.members[name].view.there() == [name, *(n for n in fleet.names if n != name)]
+        assert not any(key not in new for key in fleet.members[name].view.peers)
+
+
+@dataclass
+class Cost:
+    messages: list[float] = field(default_factory=list)
+    sizes: list[float] = field(default_factory=list)
+
+
+def test_the_cost_of_one_director_does_not_grow_with_the_fleet() -> None:
+    """Messages and bytes a second of the busiest director, while a death is found out and told."""
+    cost = Cost()
+    for count in (9, 100):
+        fleet = settled(Fleet(count))
+        fleet.kill("d0")
+        fleet.sent.clear()
+        fleet.sent_bytes.clear()
+        fleet.run(20_000)
+        cost.messages.append(max(fleet.sent.values()) / 20)
+        cost.sizes.append(max(fleet.sent_bytes.values()) / 20)
+        bound = {"peers": count, "asks": 1 + vw.HELPERS, "asks for others": vw.MOST_ASKED, "news": count}
+        for member in fleet.members.values():
+            assert all(size <= bound[table] for table, size in member.view.sizes().items())
+    small, large = cost.messages
+    assert large < 2 * small and cost.sizes[1] < 3 * cost.sizes[0]
+    assert MOST_UPDATES * 60 * large > cost.sizes[1]
+
+
+def test_a_seed_gives_the_same_views_and_another_seed_other_probes() -> None:
+    one, same, other = (Fleet(5, seed) for seed in (1, 1, 2))
+    for fleet in (one, same, other):
+        fleet.run(10_000)
+    assert one.wire == same.wire != other.wire
+
+
+def test_an_unlucky_order_of_updates_ends_in_the_same_belief() -> None:
+    updates = [
+        pr.Update("d1", state, run, inc, "d2")
+        for run in (1, 2)
+        for inc in (0, 1)
+        for state in (ALIVE, SUSPECTED, DEAD)
+    ]
+    ends = set()
+    for seed in range(50):
+        random.Random(seed).shuffle(updates)
+        view = pr.Peers("d0", 1, ["d0", "d1", "d2"], 1)
+        for update in updates:
+            view.handle(1.0, pr.Asked(1, pr.Ping("d2", 1, (update,))))
+        peer = view.peers["d1"]
+        ends.add((peer.run, peer.incarnation, peer.state))
+    assert ends == {(2, 1, DEAD)}
+
+
+def told(view: pr.Peers, now: float, *updates: pr.Update, sender: str = "d2") -> list[pr.Action]:
+    return view.handle(now, pr.Asked(1, pr.Ping(sender, 1, updates)))
+
+
+def test_the_more_agree_the_sooner_a_suspicion_is_believed() -> None:
+    """By published Lifeguard: from four periods where three agree to sixteen where nobody does."""
+    for confirmers, waits in ((0, 8_000.0), (3, 2_000.0)):
+        view = pr.Peers("d0", 1, [f"d{k}" for k in range(6)], 1)
+        told(view, 1.0, pr.Update("d1", ALIVE, 1, 0))
+        told(view, 1.0, pr.Update("d1", SUSPECTED, 1, 0, "d2"))
+        for k in range(confirmers):
+            told(view, 2.0, pr.Update("d1", SUSPECTED, 1, 0, f"d{k + 3}"), sender=f"d{k + 3}")
+            again = told(view, 2.0, pr.Update("d1", SUSPECTED, 1, 0, f"d{k + 3}"), sender="d2")
+            assert [type(action) for action in again] == [pr.Reply]  # no second voice
+        lasting = pr.TimerDue(pr.Lasting("d1", 1, 0))
+        view.handle(waits - 100.0, lasting)
+        assert view.state("d1") is SUSPECTED
+        view.handle(waits + 100.0, lasting)
+        assert view.state("d1") is DEAD
+
+
+def test_the_end_of_a_wait_that_was_refuted_starts_nothing() -> None:
+    view = pr.Peers("d0", 1, ["d0", "d1", "d2"], 1)
+    told(view, 1.0, pr.Update("d1", SUSPECTED, 1, 0, "d2"))
+    told(view, 2.0, pr.Update("d1", ALIVE, 1, 1), pr.Update("d1", SUSPECTED, 1, 1, "d2"))
+    assert view.handle(3.0, pr.TimerDue(pr.Lasting("d1", 1, 0))) == []
+
+
+def test_asks_on_behalf_of_others_are_bounded() -> None:
+    view = pr.Peers("d0", 1, ["d0", "d1", "d2"], 1)
+    for k in range(vw.MOST_ASKED + 1):
+        actions = view.handle(1.0, pr.Asked(k, pr.PingFor("d2", 1, "d1")))
+    assert [type(action) for action in actions if not isinstance(action, pr.Changed)] == [pr.Reply]
+    assert view.sizes()["asks for others"] == vw.MOST_ASKED
+
+
+def test_a_quiet_fleet_has_nothing_to_tell() -> None:
+    fleet = settled(Fleet(9))
+    fleet.run(60_000)
+    assert not any(member.view.sizes()["news"] for member in fleet.members.values())
+    assert fleet.wire[-1][2].endswith(b'"updates":[]}')
