Registers of three holders: a token has one claimant whatever the network does

Change: foxlift/accord/: holders (answer only what their disk has, vouch for nothing that a lost disk may have known) and changes of a register in two rounds, after CASPaxos, both without I/O; places by rendezvous. Nothing imports it yet.

Measured in virtual time: 20,000 random schedules, none with two values decided; every order of a small world (states and transitions printed); holders without disk, a lower ballot let through, a blind write, a minority and a sure lost disk each let two be decided.

--- /dev/null
+++ b/tests/test_accord.py
@@ -0,0 +1,359 @@
+"""Registers of three holders: one value decided, whatever happens; every guard shown to be needed."""
+
+from __future__ import annotations
+
+import copy
+from collections import Counter
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from accord_world import EXPIRES, LEEWAY, LONGEST, NOW, World
+
+from foxlift.accord import Accept, Ballot, Holder, Prepare, Promise, Registers, Reject, Taken, holders_of
+from foxlift.accord import holder as hd
+from foxlift.accord import register as rg
+
+SCHEDULES = 20_000
+KEY = "token"
+
+
+def play(world: World, most: int = 400) -> World:
+    """Claimants want the token, again and again, while anything happens."""
+    for k in range(world.claimants):
+        world.want(k, f"c{k}")
+    for _ in range(most):
+        if world.random.random() < 0.03 and world.numbers < 60:
+            k = world.random.randrange(world.claimants)
+            world.want(k, f"c{k}")
+        if not world.step():
+            break
+    return world
+
+
+def test_one_value_in_twenty_thousand_schedules() -> None:
+    """Seeds 0 to 19,999: messages in any order, lost, doubled; holders and claimants killed."""
+    ends: Counter[str] = Counter()
+    for seed in range(SCHEDULES):
+        world = play(World(seed, claimants=2 + seed % 2), 150)
+        decided = world.decided()
+        assert len(decided) <= 1, f"seed {seed}: {sorted(decided)}"
+        ends["decided" if decided else "nothing told"] += 1
+        ends["unreached"] += any(isinstance(what, rg.Unreached) for _, _, what in world.told)
+    assert ends["decided"] > SCHEDULES / 3 and ends["unreached"]
+
+
+def broken(world: type[World], made: dict[str, Any]) -> bool:
+    return any(len(play(world(seed, 3, **made), 250).decided()) > 1 for seed in range(3000))
+
+
+class Forgetful(World):
+    """Its holders answer before the disk has it."""
+
+    def _holder_does(self, k, registers, value, send, holder, action):  # type: ignore[no-untyped-def]
+        if isinstance(action, hd.Store):
+            for more in holder.handle(NOW, hd.Stored(action.request)):
+                super()._holder_does(k, registers, value, send, holder, more)
+            return
+        super()._holder_does(k, registers, value, send, holder, action)
+
+
+class Lax(Holder):
+    """Lets a lower ballot pass."""
+
+    def _asked(self, now, request, message):  # type: ignore[no-untyped-def]
+        known = self.records.get(message.key)
+        if known is not None and message.ballot < known.promised:
+            self.records[message.key] = hd.Record(
+                known.key, known.expires, message.ballot, known.taken, known.value
+            )
+        return super()._asked(now, request, message)
+
+
+class Deaf(Registers):
+    """Writes its own value whatever was taken before."""
+
+    def _write(self, number, change):  # type: ignore[no-untyped-def]
+        change.promises = {name: Promise(p.key, p.ballot) for name, p in change.promises.items()}
+        return super()._write(number, change)
+
+
+class Minority(Registers):
+    """One holder is enough for it."""
+
+    def _majority(self, change, count):  # type: ignore[no-untyped-def]
+        return count >= 1
+
+
+@pytest.mark.parametrize(
+    ("world", "made"),
+    [
+        (Forgetful, {}),
+        (World, {"make_holder": Lax}),
+        (World, {"make_registers": Deaf}),
+        (World, {"make_registers": Minority}),
+    ],
+)
+def test_each_guard_switched_off_lets_two_be_decided(world: type[World], made: dict[str, Any]) -> None:
+    assert broken(world, made)
+
+
+def test_every_order_of_a_small_world() -> None:
+    """Two claimants, three holders, one try each: every order of every message, depth first.
+
+    A loss is a message that never comes, so each prefix of an order stands for its losses. The holders'
+    answers come at once; a claimant that meets a higher ballot goes no further.
+    """
+    names = ("x", "y", "z")
+    seen: set[tuple[object, ...]] = set()
+    outcomes: Counter[frozenset[str]] = Counter()
+    transitions = 0
+
+    class Small:
+        """Two claimants' and three holders' states, and the messages that are out."""
+
+        def __init__(self) -> None:
+            self.holders = {name: Holder(LONGEST, LEEWAY) for name in names}
+            self.registers = [Registers(f"c{k}", 1) for k in range(2)]
+            self.pending: dict[tuple[int, str, str], rg.Send] = {}
+            self.decided: frozenset[str] = frozenset()
+            for k, registers in enumerate(self.registers):
+                change = rg.Change(1, KEY, names, f"c{k}", EXPIRES, 500.0)
+                self.does(k, registers.handle(0.0, change))
+
+        def does(self, k: int, actions: list[rg.Action]) -> None:
+            for action in actions:
+                if isinstance(action, rg.Send):
+                    self.pending[k, action.to, type(action.message).__name__] = action
+                elif isinstance(action, rg.Decided):
+                    self.decided |= {action.value}
+
+        def copy(self) -> Small:
+            made = Small.__new__(Small)
+            made.holders = {name: replace(h, records=dict(h.records)) for name, h in self.holders.items()}
+            made.registers = [copy.copy(registers) for registers in self.registers]
+            for registers in made.registers:
+                registers._asks = dict(registers._asks)
+                registers._changes = {
+                    number: replace(c, promises=dict(c.promises), took=set(c.took), failed=set(c.failed))
+                    for number, c in registers._changes.items()
+                }
+            made.pending, made.decided = dict(self.pending), self.decided
+            return made
+
+        def mark(self) -> tuple[object, ...]:
+            held = tuple(tuple(h.records.values()) for h in self.holders.values())
+            changes = tuple(
+                (c.state, c.ballot, frozenset(c.promises.values()), frozenset(c.took | c.failed), c.value)
+                for registers in self.registers
+                for c in registers._changes.values()
+            )
+            asks = tuple(frozenset(registers._asks) for registers in self.registers)
+            return held, changes, asks, frozenset(self.pending), self.decided
+
+        def deliver(self, key: tuple[int, str, str]) -> None:
+            send, registers = self.pending.pop(key), self.registers[key[0]]
+            holder = self.holders[send.to]
+            actions = holder.handle(NOW, hd.Asked(1, send.message))
+            if isinstance(actions[0], hd.Store):
+                actions = holder.handle(NOW, hd.Stored(1))
+            [reply] = actions
+            assert isinstance(reply, hd.Reply)
+            self.does(key[0], registers.handle(NOW, rg.Answered(send.ask, reply.message)))
+
+    stack = [Small()]
+    while stack:
+        world = stack.pop()
+        assert len(world.decided) <= 1
+        outcomes[world.decided] += 1
+        for key in world.pending:
+            gives_up = key[0] == 0 and key[2] == "Accept"  # one may stop waiting for what arrives yet
+            for waited_for in (True, False) if gives_up else (True,):
+                after = world.copy()
+                if waited_for:
+                    after.deliver(key)
+                else:
+                    nobody = rg.Unanswered(world.pending[key].ask)
+                    after.does(key[0], after.registers[key[0]].handle(1.0, nobody))
+                transitions += 1
+                mark = after.mark()
+                if mark not in seen:
+                    seen.add(mark)
+                    stack.append(after)
+    print(f"{len(seen)} states, {transitions} transitions")
+    assert len(seen) > 1000
+    assert set(outcomes) == {frozenset(), frozenset({"c0"}), frozenset({"c1"})}
+
+
+# ---- One holder -------------------------------------------------------------------------------------------
+def holder(**made: object) -> Holder:
+    return Holder(LONGEST, LEEWAY, **made)  # type: ignore[arg-type]
+
+
+def test_a_holder_answers_only_what_lasts_and_nothing_where_the_disk_failed() -> None:
+    made = holder()
+    ask = Prepare(KEY, Ballot(1, "a"), EXPIRES)
+    [store] = made.handle(NOW, hd.Asked(1, ask))
+    assert isinstance(store, hd.Store) and store.record.promised == ask.ballot
+    assert made.handle(NOW, hd.Stored(1)) == [hd.Reply(1, Promise(KEY, ask.ballot))]
+    made.handle(NOW, hd.Asked(2, Accept(KEY, Ballot(1, "a"), EXPIRES, "v")))
+    assert made.handle(NOW, hd.StoreFailed(2)) == [] == made.handle(NOW, hd.Stored(2))
+    [late] = made.handle(NOW, hd.Asked(3, Prepare(KEY, Ballot(0, "z"), EXPIRES)))
+    assert late == hd.Reply(3, Reject(KEY, Ballot(0, "z"), Ballot(1, "a")))
+
+
+def test_a_lost_disk_vouches_only_for_what_it_can_never_have_held() -> None:
+    made = holder(lost_at=NOW)
+    old = Prepare(KEY, Ballot(1, "a"), NOW + LONGEST)
+    assert made.handle(NOW, hd.Asked(1, old)) == [hd.Reply(1, Reject(KEY, old.ballot))]
+    later = NOW + 2 * LEEWAY
+    young = Prepare(KEY, Ballot(1, "a"), NOW + LONGEST + LEEWAY + 1)
+    assert isinstance(made.handle(later, hd.Asked(2, young))[0], hd.Store)
+
+
+def test_one_lost_disk_costs_refusals_and_never_a_second_claim() -> None:
+    for seed in range(1500):
+        world = World(seed, 3)
+        for k in range(3):
+            world.want(k, f"c{k}")
+        lost = False
+        for _ in range(200):
+            if not lost and world.random.random() < 0.02:
+                world.lose_disk(world.random.choice(world.names))
+                lost = True
+            if world.random.random() < 0.05 and world.numbers < 60:
+                k = world.random.randrange(3)
+                world.want(k, f"c{k}")
+            if not world.step():
+                break
+        assert len(world.decided()) <= 1, f"seed {seed}"
+
+
+def test_without_that_guard_a_lost_disk_is_a_second_claim() -> None:
+    class Sure(Holder):
+        def _vouches(self, now, message, known):  # type: ignore[no-untyped-def]
+            return True
+
+    def doubled(seed: int, make: type[Holder]) -> bool:
+        world = World(seed, 2, make_holder=make, loss=0.0)
+        world.want(0, "c0")
+        while not world.told and world.step():
+            pass
+        world.lose_disk(world.names[0])
+        world.lose_disk(world.names[1])
+        world.want(1, "c1")
+        for _ in range(60):
+            world.step()
+        return len(world.decided()) > 1
+
+    assert any(doubled(seed, Sure) for seed in range(50))
+    assert not any(doubled(seed, Holder) for seed in range(50))
+
+
+@pytest.mark.parametrize(
+    ("now", "expires", "vouched"),
+    [
+        (NOW, NOW + 1, True),
+        (NOW, NOW - LEEWAY + 1, True),  # a claimant's clock may be behind
+        (NOW, NOW - LEEWAY, False),
+        (NOW, NOW + LONGEST + LEEWAY, True),
+        (NOW, NOW + LONGEST + LEEWAY + 1, False),  # it would be kept for longer than any token lives
+    ],
+)
+def test_keys_past_their_end_or_too_long_are_not_vouched_for(now: int, expires: int, vouched: bool) -> None:
+    [action] = holder().handle(now, hd.Asked(1, Prepare(KEY, Ballot(1, "a"), expires)))
+    assert isinstance(action, hd.Store) == vouched
+
+
+def test_what_ended_is_forgotten_and_cannot_come_back() -> None:
+    made = holder()
+    made.handle(NOW, hd.Asked(1, Accept(KEY, Ballot(1, "a"), NOW + 10, "v")))
+    made.handle(NOW, hd.Stored(1))
+    assert made.records
+    later = NOW + 10 + 2 * LEEWAY + 1
+    [answer] = made.handle(later, hd.Asked(2, Prepare(KEY, Ballot(9, "b"), NOW + 10)))
+    assert not made.records and answer == hd.Reply(2, Reject(KEY, Ballot(9, "b")))
+
+
+def test_a_key_with_another_end_is_not_the_key_that_is_known() -> None:
+    made = holder()
+    made.handle(NOW, hd.Asked(1, Accept(KEY, Ballot(1, "a"), EXPIRES, "v")))
+    [answer] = made.handle(NOW, hd.Asked(2, Prepare(KEY, Ballot(2, "b"), EXPIRES + 1)))
+    assert answer == hd.Reply(2, Reject(KEY, Ballot(2, "b")))
+
+
+# ---- One claimant -----------------------------------------------------------------------------------------
+def claim(registers: Registers, **more: object) -> list[rg.Send]:
+    change = rg.Change(1, KEY, ("x", "y", "z"), "mine", EXPIRES, 500.0, **more)  # type: ignore[arg-type]
+    return [a for a in registers.handle(0.0, change) if isinstance(a, rg.Send)]
+
+
+def test_without_two_holders_a_claim_is_unreached_at_once_and_at_its_deadline() -> None:
+    registers = Registers("c", 1)
+    asks = claim(registers)
+    assert registers.handle(1.0, rg.Unanswered(asks[0].ask)) == []
+    assert registers.handle(1.0, rg.Unanswered(asks[1].ask)) == [rg.Unreached(1)]
+    assert not registers and registers.handle(1.0, rg.DeadlineDue(1)) == []
+    claim(registers)
+    assert registers.handle(501.0, rg.DeadlineDue(1)) == [rg.Unreached(1)]
+
+
+def test_what_another_holds_is_written_again_and_told() -> None:
+    registers = Registers("c", 1)
+    asks = claim(registers)
+    ballot = asks[0].message.ballot
+    registers.handle(1.0, rg.Answered(asks[0].ask, Promise(KEY, ballot, Ballot(0, "o"), "other")))
+    writes = registers.handle(1.0, rg.Answered(asks[1].ask, Promise(KEY, ballot)))
+    again = Accept(KEY, ballot, EXPIRES, "other")
+    assert [w.message for w in writes if isinstance(w, rg.Send)] == [again] * 3
+    sends = [w for w in writes if isinstance(w, rg.Send)]
+    assert registers.handle(1.0, rg.Answered(sends[0].ask, Taken(KEY, ballot))) == []
+    assert registers.handle(1.0, rg.Answered(sends[0].ask, Taken(KEY, ballot))) == []  # the same one twice
+    assert registers.handle(1.0, rg.Answered(sends[2].ask, Taken(KEY, ballot))) == [rg.Decided(1, "other")]
+
+
+def test_a_value_is_replaced_only_where_it_is_the_expected_one() -> None:
+    for held, expected, written in (("a", "a", "mine"), ("b", "a", "b"), ("b", None, "b")):
+        registers = Registers("c", 1)
+        asks = claim(registers, expected=expected)
+        ballot = asks[0].message.ballot
+        promise = Promise(KEY, ballot, Ballot(0, "o"), held)
+        registers.handle(1.0, rg.Answered(asks[0].ask, promise))
+        writes = registers.handle(1.0, rg.Answered(asks[2].ask, promise))
+        assert {w.message.value for w in writes if isinstance(w, rg.Send)} == {written}  # type: ignore[union-attr]
+
+
+def test_two_that_meet_wait_apart_and_one_of_them_wins_soon() -> None:
+    """Against each other for good they would both run out of time: the waits differ by the seed and grow."""
+    registers = Registers("c", 1)
+    asks = claim(registers)
+    seen = Ballot(7, "o")
+    [again] = registers.handle(1.0, rg.Answered(asks[0].ask, Reject(KEY, asks[0].message.ballot, seen)))
+    assert isinstance(again, rg.StartTimer) and rg.AGAIN_MS / 2 <= again.delay_ms <= rg.AGAIN_MOST_MS
+    next_asks = registers.handle(30.0, again.event)
+    assert all(a.message.ballot > seen for a in next_asks if isinstance(a, rg.Send))
+    assert len(registers._asks) == 2 + 3  # of the turn before, two may still be answered; nobody listens
+
+
+def test_claims_at_once_are_bounded() -> None:
+    registers = Registers("c", 1)
+    change = rg.Change(0, KEY, ("x",), "v", EXPIRES, 500.0)
+    for number in range(rg.MOST_CHANGES):
+        registers.handle(0.0, rg.Change(number, KEY, ("x",), "v", EXPIRES, 500.0))
+    assert registers.handle(0.0, rg.Change(-1, KEY, ("x",), "v", EXPIRES, 500.0)) == [rg.Unreached(-1)]
+    assert registers.handle(0.0, change) == [rg.Unreached(0)]  # a number in use
+
+
+# ---- Who holds --------------------------------------------------------------------------------------------
+def test_holders_are_the_same_everywhere_even_and_move_little() -> None:
+    names = [f"d{k}" for k in range(9)]
+    held: Counter[str] = Counter()
+    for k in range(3000):
+        three = holders_of(f"t{k}", names)
+        assert three == holders_of(f"t{k}", reversed(names)) and len(set(three)) == 3
+        held.update(three)
+        fewer = holders_of(f"t{k}", names[:-1])
+        assert "d8" in three or fewer == three
+    assert all(800 < held[name] < 1200 for name in names)
+    assert holders_of("token-1", names) == ("d8", "d4", "d5")  # a place that must not move between versions
+    assert holders_of("x", ["a", "b"]) in (("a", "b"), ("b", "a"))
