--- a/foxlift/cli/main.py
+++ b/foxlift/cli/main.py
@@ -228,6 +228,8 @@
         _end(BAD_FILES, str(error))
         return
 
+    if faults is None and (only or plays):
+        raise click.BadParameter("goes with --faults", param_hint="--only, --shrink")
     try:
         chosen = None if only is None else tuple(int(number) for number in only.split(","))
         drawn = day if faults is None else with_faults(day, seed, faults, chosen)
--- a/foxlift/decide/driver.py
+++ b/foxlift/decide/driver.py
@@ -174,9 +174,10 @@
             named = {info.node for info in nodes}
             gone = [node.info for name, node in self.module.nodes.items() if name not in named]
             lines += [replace(info, status=fl.Status.GONE) for info in gone]
+        if kind is fl.ListKind.CACHED:  # any of its nodes may have started since, and counts as cold from now
+            lines = [replace(info, started_ms=max(info.started_ms, self._now)) for info in lines]
         self._events.extend(fl.NodeList(fl.ListKind.DELTA, (line,)) for line in lines)
 
-
     def _say(self, what: str, error: Exception) -> None:
         if self._now - self._said_at < FAULTS_EVERY_MS:
             self._unsaid += 1
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -97,6 +97,8 @@
     for numbers in ("0,99", "x"):
         told = CliRunner().invoke(main, ["rehearse", "short-day", "--faults", "3", "--only", numbers])
         assert told.exit_code == 2
+    alone = CliRunner().invoke(main, ["rehearse", "short-day", "--only", "0"])
+    assert alone.exit_code == 2 and "--faults" in alone.output
 
 
 def small(tmp_path: Path, steps: str) -> Path:
--- a/tests/test_module_faults.py
+++ b/tests/test_module_faults.py
@@ -244,6 +244,16 @@
     assert boxes[0].info.node not in module.nodes  # a whole list leaves out those that are gone
 
 
+def test_a_cached_list_that_raises_leaves_its_boxes_cold_all_the_same() -> None:
+    world = World(make=Faulty)
+    module = faulty(world)
+    lines = tuple(box.info for box in world.config.known[0].boxes)
+    module.sick = Sick(fl.NodeList)
+    world.core._driver.tell(world.now, fl.NodeList(fl.ListKind.CACHED, lines[1:]))
+    assert set(module.nodes) == {line.node for line in lines[1:]}
+    assert all(node.cold_since == world.now for node in module.nodes.values())
+
+
 def test_what_was_decided_before_the_fault_is_carried_out_and_no_older_decision_again() -> None:
     done: list[fl.Action] = []
     module = Faulty(read(config([])).module, 1)
