Second reread: a check that could not fail taken out, bounds of register holders tested

Cause: the whole change read again. One assertion of the faults' test could not fail, a parameter of the taps was unused, and no test held the two bounds of a register holder.

--- a/foxlift/standins/tap.py
+++ b/foxlift/standins/tap.py
@@ -116,6 +116,7 @@
         self.number = 0
         self.picked = True  # whether faults touch this connection
         self.way = ways.Way(tap.up if kind == "up" else tap.down)
+        self.choked = False  # whether this side takes no more bytes for now
         self._reads = True  # whether its sender is read from
         self._timer: asyncio.TimerHandle | None = None
 
@@ -161,7 +162,7 @@
         self._do(self.way.due(self.tap.loop.time()))
         self._read_on()
 
-    def _read_on(self, writable: bool | None = None) -> None:
+    def _read_on(self) -> None:
         """Read from the sender only while there is room for what it sends."""
         other = self.other
         reads = not self.way.full and (other is None or not other.choked)
@@ -172,8 +173,6 @@
             else:
                 self.transport.pause_reading()
 
-    choked = False  # whether this side takes no more bytes for now
-
     def pause_writing(self) -> None:
         self.choked = True
         if self.other is not None:
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -357,3 +357,18 @@
     assert all(800 < held[name] < 1200 for name in names)
     assert holders_of("token-1", names) == ("d8", "d4", "d5")  # a place that must not move between versions
     assert holders_of("x", ["a", "b"]) in (("a", "b"), ("b", "a"))
+
+
+@pytest.mark.parametrize("bound", ["MOST_KEYS", "MOST_WAITING"])
+def test_a_holder_s_tables_are_bounded_and_what_is_over_is_not_vouched_for(
+    bound: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(hd, bound, 2)
+    made = holder()
+    ballot = Ballot(1, "a")
+    asked = [made.handle(NOW, hd.Asked(k, Prepare(f"k{k}", ballot, EXPIRES))) for k in range(3)]
+    assert [isinstance(actions[0], hd.Store) for actions in asked] == [True, True, False]
+    assert asked[2] == [hd.Reply(2, Reject("k2", ballot))]
+    if bound == "MOST_WAITING":  # once the disk has caught up it vouches again
+        made.handle(NOW, hd.Stored(0))
+        assert isinstance(made.handle(NOW, hd.Asked(3, Prepare("k2", ballot, EXPIRES)))[0], hd.Store)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from foxlift.cli.main import main
-from foxlift.rehearsal import Scenario, built_in, shrink, with_faults
+from foxlift.rehearsal import built_in, shrink, with_faults
 from foxlift.rehearsal.faults import KINDS, draw_faults, terms_of
 from foxlift.rehearsal.scenario import LINK_FAULTS, Link, Step
 from foxlift.standins import ways
@@ -135,4 +135,3 @@
     marks = [line for line in (folder / "taps.bin").read_bytes().split(b"\n") if b'"k": "mark"' in line]
     links = [m for m in map(json.loads, marks) if "link" in m]
     assert {m["text"].removesuffix(" over") for m in links} == {"cut", "hold", "reset", "delay", "break"}
-    assert Scenario is type(DAY)
