--- a/foxlift/boxes/__init__.py
+++ b/foxlift/boxes/__init__.py
@@ -9,6 +9,7 @@
     LinkUse,
     NoticeReader,
     RungThere,
+    TakenThere,
 )
 from foxlift.boxes.orca import read_load
 from foxlift.boxes.resource import SetUpOrder, box_outcome, read_set_up
@@ -23,6 +24,7 @@
     "NoticeReader",
     "RungThere",
     "SetUpOrder",
+    "TakenThere",
     "box_outcome",
     "read_load",
     "read_set_up",
--- a/foxlift/boxes/notices.py
+++ b/foxlift/boxes/notices.py
@@ -57,13 +57,22 @@
     at: int = 0
 
 
-BoxNotice = Hello | Delivered | LinkUse | RungThere | EndedThere
+class TakenThere(msgspec.Struct, frozen=True, tag="taken"):
+    """Sessions of this director that another one owns now, since when by the box's clock (Unix ms)."""
+
+    sessions: tuple[str, ...]
+    by: str
+    at: int = 0
+
+
+BoxNotice = Hello | Delivered | LinkUse | RungThere | EndedThere | TakenThere
 _KINDS: dict[str, type[BoxNotice]] = {
     "hello": Hello,
     "delivered": Delivered,
     "link": LinkUse,
     "rung": RungThere,
     "ended": EndedThere,
+    "taken": TakenThere,
 }
 
 
--- a/foxlift/cli/main.py
+++ b/foxlift/cli/main.py
@@ -100,9 +100,13 @@
         loop = asyncio.get_running_loop()
         daemon = Daemon(config, loop)
         port = await daemon.start()
-        click.echo(json.dumps({"port": port, "url": daemon.url}))
+        ready: dict[str, object] = {"port": port, "url": daemon.url}
+        if daemon.peers is not None:
+            ready["peers"] = daemon.peers.peering.port
+        click.echo(json.dumps(ready))
         sys.stdout.flush()
         stop = asyncio.Event()
+        daemon.on_superseded = stop.set
         for name in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(name, stop.set)
         await stop.wait()
--- a/foxlift/config/settings.py
+++ b/foxlift/config/settings.py
@@ -174,6 +174,37 @@
             raise ValueError("export-folder and export-url: only one of them")
 
 
+class PeerConfig(msgspec.Struct, frozen=True, tag="peer"):
+    """Another director of the fleet, and where its peers' listener is."""
+
+    name: Name
+    url: Annotated[str, Meta(pattern=r"^http://[A-Za-z0-9.-]+:[0-9]{1,5}$", max_length=300)]
+
+
+class PeersConfig(msgspec.Struct, frozen=True):
+    """Directors that know each other and take over each other's work; off where `others` is empty."""
+
+    others: Annotated[tuple[PeerConfig, ...], Meta(max_length=1000)] = ()
+    host: str = "127.0.0.1"
+    port: Port = 0
+    period_ms: Annotated[float, Meta(ge=20, le=60_000)] = 500.0
+    claim_ms: Annotated[float, Meta(ge=10, le=60_000)] = 500.0  # how long a paid set-up waits for its claim
+    pass_ms: Annotated[float, Meta(ge=10, le=60_000)] = 1000.0  # and a request for its session's owner
+    grace_ms: Annotated[float, Meta(ge=0, le=3_600_000)] = 60_000.0  # asked of boxes, see the protocol
+    longest_token_s: Annotated[int, Meta(ge=1, le=31_536_000)] = 86_400
+    clocks_apart_ms: Annotated[int, Meta(ge=0, le=600_000)] = 10_000  # of directors and boxes, at most
+    trust_disk: bool = False  # the operator's word that the state folder is the last run's
+
+    def __post_init__(self) -> None:
+        if len({peer.name for peer in self.others}) != len(self.others):
+            raise ValueError("others: two peers have one name")
+
+    @property
+    def on(self) -> bool:
+        """Whether there is anybody to know."""
+        return bool(self.others)
+
+
 class DirectorConfig(msgspec.Struct, frozen=True):
     """All that `foxlift serve` reads."""
 
@@ -189,6 +220,7 @@
     box_list: BoxListConfig
     boxes: BoxLinkConfig = BoxLinkConfig()
     ledger: LedgerConfig = LedgerConfig()
+    peers: PeersConfig = PeersConfig()
     seed: Annotated[int, Meta(ge=0, le=2**63 - 1)] = 0
     stall_ms: Ms = 200.0
 
@@ -197,6 +229,8 @@
             raise ValueError(f"number {self.number} is not below directors {self.directors}")
         if self.zone not in self.fleet.zones:
             raise ValueError(f"zone {self.zone} is not one of the fleet's zones")
+        if any(peer.name == self.name for peer in self.peers.others):
+            raise ValueError(f"peers: {self.name} is this director itself")
 
 
 def load_director(path: Path) -> DirectorConfig:
--- a/foxlift/decide/attempts.py
+++ b/foxlift/decide/attempts.py
@@ -140,11 +140,32 @@
 
 @dataclass(frozen=True, slots=True)
 class Resumes:
-    """A session that plays at a box as attempt 0, handed over from an earlier run of this director."""
+    """A session that plays at a box as attempt 0, handed over from an earlier run or another director.
+
+    `name`: its set-up, where it is not of this run; `boot` and `counter` of the box when it said so.
+    """
 
     session: int
     node: int
     rung: int
+    name: str = ""
+    boot: str = ""
+    counter: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Drop:
+    """A box holds this set-up for this director, and it is not wanted."""
+
+    set_up: str
+    node: int
+
+
+@dataclass(frozen=True, slots=True)
+class Renewed:
+    """This director has begun another run: set-ups from here on bear its prefix, those before keep theirs."""
+
+    prefix: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -200,6 +221,8 @@
     | Rung
     | EndedAtBox
     | Resumes
+    | Drop
+    | Renewed
     | BoxLost
     | Drains
     | Serves
@@ -331,6 +354,12 @@
             case Resumes():
                 self._resumes(event)
                 return []
+            case Drop(set_up, node):
+                self._ghosts[set_up] = node
+                return [Release(set_up, node)]
+            case Renewed(prefix):
+                self._renewed(prefix)
+                return []
             case CallOff(session):
                 return self._call_off(session)
             case Rung():
@@ -377,6 +406,12 @@
         found = int(session), int(attempt)
         return found if f"{prefix}-{found[0]}-{found[1]}" == set_up else None
 
+    def knows(self, set_up: str) -> bool:
+        """Whether a set-up is out, plays, or is being released."""
+        own = self.own(set_up)
+        found = None if own is None else self._live.get(own[0])
+        return set_up in self._ghosts or (found is not None and own is not None and found.attempt == own[1])
+
     def plays_at(self, session: int) -> tuple[int, int] | None:
         """Box and attempt number of a session that plays."""
         found = self._live.get(session)
@@ -425,9 +460,20 @@
         if event.session in self._live:
             raise RuntimeError(f"session {event.session} is known already")
         made = _Attempt(event.session, 0, event.node, event.rung, False, 0.0, _State.PLAYING)
+        made.boot, made.counter = event.boot, event.counter
+        if event.name:
+            self._names[event.session, 0] = event.name
+            self._named[event.name] = event.session, 0
         self._live[event.session] = made
         self._by_node.setdefault(event.node, set()).add(event.session)
 
+    def _renewed(self, prefix: str) -> None:
+        for found in self._live.values():
+            key = found.session, found.attempt
+            set_up = self.set_up_id(*key)
+            self._names[key], self._named[set_up] = set_up, key
+        self._prefix = prefix
+
     def _durable(self, now: float, found: _Attempt) -> list[Action]:
         if found.state is not _State.INTENT:
             return []
@@ -535,8 +581,7 @@
     ) -> list[Action]:
         playing = found.state is _State.PLAYING
         set_up = self.set_up_id(found.session, found.attempt)
-        if found.named:
-            del self._names[found.session, found.attempt]
+        if self._names.pop((found.session, found.attempt), None) is not None:
             self._named.pop(set_up, None)
         del self._live[found.session]
         self._by_node[found.node].discard(found.session)
--- a/foxlift/decide/claims.py
+++ b/foxlift/decide/claims.py
@@ -23,6 +23,16 @@
     LEFT       Over                       SPENT      paid; free: (unknown)
     SPENT      Requested                  SPENT      failed where it may have run unseen, gone where it played
 
+Where directors take over each other's work (off by default):
+
+    ASKED      Elsewhere                  (unknown)  another has claimed it: each request is passed on
+    PLAYING,
+    PARKED     Elsewhere, Lost            (unknown)  another owns it now
+    any        Adopt                      PLAYING,   a session that ran elsewhere is this director's from
+                                          PARKED     now on; whoever waits is shown it
+    PLAYING    Adopt of another set-up    PLAYING    superfluous: one of the two is enough
+    SPENT      Requested, recalled        SPENT      asked about elsewhere: its box may still play it
+
 A token that has expired opens no session, but its holder may reload the one that it opened, and take it up
 again after a pause. What is spent is kept until the token's own expiry: after that it could open nothing
 anyway.
@@ -56,6 +66,8 @@
     PLAYED = "the session of this token is over"
     BUSY = "the session of this token is being called off"
     FLOOD = "too many requests wait on this token"
+    UNREACHED = "nobody can tell now who has the session of this token"
+    NOT_HERE = "the session of this token is not here"
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,7 +152,45 @@
     played: bool
 
 
-Event = Requested | HungUp | Plays | Refused | Failed | Over | Parked | Lapsed | Recalled
+@dataclass(frozen=True, slots=True)
+class Elsewhere:
+    """The session is not to be here: its token is claimed elsewhere, or it was taken over."""
+
+    session: int
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """What is parked under this set-up was taken over by another director."""
+
+    set_up: str
+
+
+@dataclass(frozen=True, slots=True)
+class Adopt:
+    """A session that plays, or with `until` (Unix seconds) is parked, is this director's from now on."""
+
+    token: str
+    paid: bool
+    expires: float
+    place: Place
+    until: float = 0.0
+
+
+Event = (
+    Requested
+    | HungUp
+    | Plays
+    | Refused
+    | Failed
+    | Over
+    | Parked
+    | Lapsed
+    | Recalled
+    | Elsewhere
+    | Lost
+    | Adopt
+)
 
 
 # ---- Actions ----------------------------------------------------------------------------------------------
@@ -192,7 +242,45 @@
     session: int
 
 
-Action = Open | Show | TellRefused | TellFailed | TurnDown | Withdraw
+@dataclass(frozen=True, slots=True)
+class PassOn:
+    """Somebody else answers this request, or knows what became of its session."""
+
+    request: int
+    session: int
+
+
+@dataclass(frozen=True, slots=True)
+class AskAbout:
+    """The record of an earlier run has this token: its box knows whether it still plays."""
+
+    request: int
+
+
+@dataclass(frozen=True, slots=True)
+class Adopted:
+    """The adopted session plays under this number."""
+
+    session: int
+
+
+@dataclass(frozen=True, slots=True)
+class Superfluous:
+    """The token's session plays here already, as another set-up: the adopted one is not wanted."""
+
+
+Action = (
+    Open
+    | Show
+    | TellRefused
+    | TellFailed
+    | TurnDown
+    | Withdraw
+    | PassOn
+    | AskAbout
+    | Adopted
+    | Superfluous
+)
 
 
 @dataclass(slots=True)
@@ -206,12 +294,14 @@
     played: bool = False
     parked_until: float = 0.0  # above 0: what it asks for is taken up again, not set up
     place: Place | None = None  # where; forgotten with the claim
+    recalled: bool = False
 
 
 class Claims:
-    """Every token that this director has to remember."""
+    """Every token that this director has to remember. `fleet`: whether others take over what it leaves."""
 
-    def __init__(self) -> None:
+    def __init__(self, fleet: bool = False) -> None:
+        self._fleet = fleet
         self._by_token: dict[str, _Claim] = {}
         self._by_session: dict[int, _Claim] = {}
         self._by_request: dict[int, _Claim] = {}
@@ -232,6 +322,11 @@
             case Recalled():
                 self._recalled(event)
                 return []
+            case Lost(set_up):
+                self._lost(set_up)
+                return []
+            case Adopt():
+                return self._adopt(event)
         claim = self._by_session.get(event.session)
         if claim is None:
             return []
@@ -247,6 +342,8 @@
                 self._park(claim, until)
             case Lapsed():
                 return self._lapsed(claim)
+            case Elsewhere():
+                return self._elsewhere(claim)
             case Over():
                 self._over(claim, event.ran)
         return []
@@ -280,6 +377,8 @@
                 return [TurnDown(event.request, Why.FAILED if claim.paid else Why.BUSY)]
             case _State.PARKED:
                 return self._take_up(now, claim, event.request)
+            case _State.SPENT if claim.recalled and self._fleet:
+                return [AskAbout(event.request)]
             case _State.SPENT:
                 return [TurnDown(event.request, Why.PLAYED if claim.played else Why.FAILED)]
 
@@ -377,10 +476,46 @@
 
     def _drop(self, claim: _Claim) -> None:
         self._by_session.pop(claim.session, None)
-        self._by_token.pop(claim.token, None)
+        if self._by_token.get(claim.token) is claim:  # another may have taken its place
+            del self._by_token[claim.token]
+
+    # ---- Between directors --------------------------------------------------------------------------------
+    def _elsewhere(self, claim: _Claim) -> list[Action]:
+        waiting, session = self._release(claim), claim.session
+        self._drop(claim)
+        return [PassOn(request, session) for request in waiting]
+
+    def _lost(self, set_up: str) -> None:
+        for claim in list(self._by_token.values()):
+            if claim.state is _State.PARKED and claim.place is not None and claim.place.set_up == set_up:
+                self._drop(claim)
+                return
+
+    def _adopt(self, event: Adopt) -> list[Action]:
+        claim = self._by_token.get(event.token)
+        waiting: list[int] = []
+        actions: list[Action] = []
+        if claim is not None and claim.state is _State.PLAYING:
+            return [Superfluous()]
+        if claim is not None and claim.state is _State.ASKED:
+            waiting = self._release(claim)
+            claim.state = _State.LEFT
+            actions.append(Withdraw(claim.session))
+        self._last_session += 1
+        made = _Claim(event.token, event.paid, event.expires, self._last_session, _State.PLAYING, played=True)
+        made.place = event.place
+        self._by_token[event.token] = made
+        if event.until:
+            # whoever waits asks once more, and takes it up from here
+            self._park(made, event.until)
+            return [*actions, *(AskAbout(request) for request in waiting)]
+        self._by_session[made.session] = made
+        shown = [Show(request, made.session) for request in waiting]
+        return [*actions, Adopted(made.session), *shown]
 
     def _recalled(self, event: Recalled) -> None:
         claim = _Claim(event.token, True, event.expires, 0, _State.SPENT, played=event.played)
+        claim.recalled = True
         self._by_token[event.token] = claim
         heapq.heappush(self._spent, (event.expires, event.token))
 
--- a/foxlift/director/answers.py
+++ b/foxlift/director/answers.py
@@ -26,9 +26,17 @@
     Why.PLAYED: (410, "the session of this token is over", None),
     Why.BUSY: (503, "the session of this token is being called off", 1),
     Why.FLOOD: (429, "too many requests wait on this token", 1),
+    Why.UNREACHED: (503, "nobody can tell now who has the session of this token", 1),
+    Why.NOT_HERE: (421, "the session of this token is not here", None),
 }
 
 
+def _come_back(come_back_ms: float) -> Headers:
+    """Whole seconds for any client (RFC 9110 section 10.2.3); the exact time for those that read it."""
+    seconds = max(round(come_back_ms / 1000 + 0.499), 1)
+    return (("retry-after", str(seconds)), ("foxlift-come-back-ms", f"{come_back_ms:g}"))
+
+
 def cmsd(max_kbps: int) -> Headers:
     """The rung's cap for the player: CTA-5006 section 3.2, `mb` in kbit/s."""
     return (("cmsd-dynamic", f'"foxlift";mb={max_kbps}'),)
@@ -40,6 +48,8 @@
 
     exchange: Exchange
     wish: Wish
+    expired: bool = False
+    passed: bool = False  # by another director
 
 
 class Answers:
@@ -53,6 +63,7 @@
         rate_kb: Callable[[ev.Session, int], float],
         booked: Callable[[ev.Session, int], ev.Booked],
     ) -> None:
+        self.hint: Callable[[ev.Session], str] = lambda session: ""  # who has it, for its Location
         self._config, self._address, self._set_up_id = config, address, set_up_id
         self._rate_kb, self._booked = rate_kb, booked
         self.url = ""
@@ -62,9 +73,9 @@
         self._ready_of: dict[int, list[bytes]] = {}
         self._log = structlog.get_logger().bind(director=config.name)
 
-    def hold(self, number: int, exchange: Exchange, wish: Wish) -> None:
+    def hold(self, number: int, exchange: Exchange, wish: Wish, expired: bool, passed: bool) -> None:
         """Keep a request until it is answered or gone."""
-        self.held[number] = Held(exchange, wish)
+        self.held[number] = Held(exchange, wish, expired, passed)
 
     def gone(self, number: int) -> bool:
         """The client has left; whether an answer was still owed."""
@@ -86,7 +97,8 @@
             self._send_there(held.exchange, session, held.wish.rest)
             return "sent back"
         headers, body = self.manifest(session, held.wish.url_token)
-        held.exchange.remember(lambda data: self._keep_ready(data, session, held.exchange))
+        if not held.passed:
+            held.exchange.remember(lambda data: self._keep_ready(data, session, held.exchange))
         held.exchange.reply(200, headers, body)
         return "manifests"
 
@@ -109,7 +121,7 @@
         view = SessionView(
             base_url=self._base(session),
             back_url=back_url(self.url, name, url_token),
-            location=manifest_url(self.url, name, url_token),
+            location=manifest_url(self.url, name, url_token, self.hint(session)),
             update_period_s=self._config.front.update_period_s,
             floor_kb=self._rate_kb(session, self._floor(session)),
             rate_kb=self._rate_kb(session, session.rung),
@@ -167,11 +179,7 @@
         held = self._take(request)
         if held is None:
             return
-        extra: Headers = ()
-        if come_back_ms > 0:
-            # whole seconds for any client (RFC 9110 section 10.2.3); the exact time for those that read it
-            seconds = max(round(come_back_ms / 1000 + 0.499), 1)
-            extra = (("retry-after", str(seconds)), ("foxlift-come-back-ms", f"{come_back_ms:g}"))
+        extra = _come_back(come_back_ms) if come_back_ms > 0 else ()
         held.exchange.reply_problem(503, "refused: no room for this session now", extra=extra)
         self._log.info("refused", session=session)
 
@@ -179,11 +187,23 @@
         """Answer 504: it may have been set up."""
         self._tell(request, 504, "the session could not be set up in time", session=session)
 
-    def down(self, request: int, why: Why) -> None:
+    def down(self, request: int, why: Why, come_back_ms: float = 0.0) -> None:
         """Answer without a session."""
         status, title, seconds = _DOWN[why]
+        if come_back_ms > 0:
+            held = self._take(request)
+            if held is not None:
+                held.exchange.reply_problem(status, title, extra=_come_back(come_back_ms))
+            return
         self._tell(request, status, title, seconds)
 
+    def relay(self, request: int, status: int, headers: Headers, body: bytes) -> None:
+        """Give a viewer the answer of the director that has its session."""
+        held = self._take(request)
+        if held is not None:
+            held.exchange.reply(status, headers, body)
+            self._log.info("passed on", status=status)
+
     def _tell(
         self, request: int, status: int, title: str, seconds: int | None = None, session: int | None = None
     ) -> None:
--- a/foxlift/director/core.py
+++ b/foxlift/director/core.py
@@ -14,7 +14,7 @@
 
 from foxlift import interface as fl
 from foxlift import ledger as lg
-from foxlift.boxes import Delivered, EndedThere, Hello, LinkUse, RungThere
+from foxlift.boxes import Delivered, EndedThere, Hello, LinkUse, RungThere, TakenThere
 from foxlift.config import DirectorConfig, module_settings
 from foxlift.decide import attempts as at
 from foxlift.decide import claims as cl
@@ -62,7 +62,7 @@
         self.settings = module_settings(config)
         self.module = make(self.settings, config.seed)
         self._driver = Driver(self.module, self._carry_out, self._fault, trace)
-        self.claims = cl.Claims()
+        self.claims = cl.Claims(config.peers.on)
         self.attempts = at.Attempts(f"{config.name}.{run}")
         self.watch = ListWatch(cached, config.box_list.retry_ms, config.seed)
         self.links: dict[int, ln.Link] = {}
@@ -77,6 +77,10 @@
         self._now = 0.0
         self._out: list[ev.Action] = []
 
+    def is_paid(self, klass: str) -> bool:
+        """Whether sessions of a class must run once."""
+        return self.settings.classes[self._classes[klass]].repeat is not fl.Repeat.FREE
+
     def knows_class(self, name: str) -> bool:
         """Whether a token's class is one of the fleet's."""
         return name in self._classes
@@ -110,6 +114,15 @@
                 ends = int(known.expires * 1000)
                 ran = lg.Ran(int(now), known.set_up, known.token, known.tenant, known.klass, not played, ends)
                 self._out.append(ev.Account(ran))
+            case ev.ClaimedElsewhere():
+                self._claimed_elsewhere(event)
+            case ev.Adopted():
+                self._adopted(event)
+            case ev.Renewed(run):
+                self.run = run
+                self._attempt(at.Renewed(f"{self.config.name}.{run}"))
+            case ev.NotOwner(set_up):
+                self._taken(set_up, 0)
             case PollDue() | ListAnswer() | ListFailed():
                 self._list(event)
             case (
@@ -158,8 +171,10 @@
                     self._out.append(ev.AnswerDown(request, why))
                 case cl.Withdraw(session):
                     self._withdraw(session)
-                case cl.TellRefused():
-                    raise AssertionError("refusals are told by _refuse")
+                case cl.AskAbout(request):
+                    self._out.append(ev.AskAbout(request, self._token_of(request)))
+                case cl.TellRefused() | cl.PassOn() | cl.Adopted() | cl.Superfluous():
+                    raise AssertionError("told by whoever asked for it")
 
     def _open(self, number: int, asked: ev.ManifestAsked, place: cl.Place | None) -> None:
         token, title = asked.token, asked.title
@@ -188,19 +203,21 @@
             first_cell, holders = box.cell, 1
         # the answer has a way to go: what the network takes of the viewer's time is not the module's to spend
         ttl_ms = max(terms.deadline_ms - asked.waited_ms - self.config.front.answer_margin_ms, 1.0)
-        self._tell(
-            fl.Ask(
-                session=number,
-                klass=klass,
-                title=title.number,
-                first_cell=first_cell,
-                holders=holders,
-                best_rung=best,
-                ttl_ms=ttl_ms,
-                tenant=self._tenants.get(token.tenant, 0),
-                viewer=int.from_bytes(blake2b(token.viewer.encode(), digest_size=6).digest(), "big"),
-                length_ms=None if token.length_s is None else token.length_s * 1000,
-            )
+        self._tell(self._ask(session, first_cell, holders, ttl_ms))
+
+    def _ask(self, session: ev.Session, first_cell: int, holders: int, ttl_ms: float) -> fl.Ask:
+        token, terms = session.token, self.settings.classes[session.klass]
+        return fl.Ask(
+            session=session.number,
+            klass=session.klass,
+            title=session.title.number,
+            first_cell=first_cell,
+            holders=holders,
+            best_rung=terms.top if token.best_rung is None else min(token.best_rung, terms.top),
+            ttl_ms=ttl_ms,
+            tenant=self._tenants.get(token.tenant, 0),
+            viewer=int.from_bytes(blake2b(token.viewer.encode(), digest_size=6).digest(), "big"),
+            length_ms=None if token.length_s is None else token.length_s * 1000,
         )
 
     def _withdraw(self, number: int) -> None:
@@ -222,6 +239,73 @@
         else:
             self._over(session, ran=True)
 
+    def _token_of(self, request: int) -> str:
+        asked = self._asked.get(request)
+        return "" if asked is None else asked.token.id
+
+    # ---- Between directors --------------------------------------------------------------------------------
+    def _claimed_elsewhere(self, event: ev.ClaimedElsewhere) -> None:
+        """A paid session's token is another's: its requests go there, and the module forgets it."""
+        session = self.sessions.get(event.session)
+        if session is None or not self.attempts.holds(event.session) or session.attempt != event.attempt:
+            return
+        session.unclaimed = session.withdrawn = True
+        for action in self.claims.handle(self._now / 1000, cl.Elsewhere(event.session)):
+            if isinstance(action, cl.PassOn):
+                passed = ev.PassOn(action.request, event.claim)
+                self._out.append(
+                    passed if event.reached else ev.AnswerDown(action.request, cl.Why.UNREACHED)
+                )
+        self._tell(fl.Withdrawn(event.session))
+        self._attempt(at.IntentFailed(event.session, event.attempt))
+
+    def _adopted(self, event: ev.Adopted) -> None:
+        for one in event.sessions:
+            if not self.attempts.knows(one.set_up) and one.token.klass in self._classes:
+                self._adopt(event, one)
+        self._link_perhaps_unwanted(event.node)
+
+    def _adopt(self, event: ev.Adopted, one: ev.Adoptee) -> None:
+        """Go on with a session where its last owner left it; its box says since when."""
+        token = one.token
+        paid = self.settings.classes[self._classes[token.klass]].repeat is not fl.Repeat.FREE
+        place = cl.Place(event.node, one.set_up, one.path_token)
+        adopt = cl.Adopt(token.id, paid, token.expires, place, one.until)
+        for action in self.claims.handle(self._now / 1000, adopt):
+            match action:
+                case cl.Withdraw(session):
+                    self._withdraw(session)
+                case cl.Superfluous():
+                    self._attempt(at.Drop(one.set_up, event.node))
+                case cl.Adopted(number):
+                    self._resume(number, event, one, paid)
+                case cl.Show(request, session):
+                    self._out.append(ev.ShowManifest(request, self.sessions[session]))
+                case cl.AskAbout(request):
+                    self._out.append(ev.AskAbout(request, token.id))
+
+    def _resume(self, number: int, event: ev.Adopted, one: ev.Adoptee, paid: bool) -> None:
+        token, klass = one.token, self._classes[one.token.klass]
+        terms = self.settings.classes[klass]
+        best = terms.top if token.best_rung is None else min(token.best_rung, terms.top)
+        made = ev.Session(number, token, one.title, klass, paid, one.path_token, top=max(best, terms.floor))
+        made.rung, made.node, made.attempts, made.started = one.rung, event.node, 1, self._now
+        self.sessions[number] = made
+        self._link_wanted(event.node)
+        self._attempt(at.Resumes(number, event.node, one.rung, one.set_up, event.boot, event.counter))
+        self._out.append(ev.Account(self._opened(made, one.at, one.set_up)))
+        self._tell(fl.Resumed(self._ask(made, one.title.first_cell, one.title.holders, 0.0), event.node))
+        self._tell(fl.Note(number, event.node, fl.NoteKind.RUNG, float(one.rung)))
+
+    def _taken(self, set_up: str, when: int) -> None:
+        """Another director owns the session now: its end here, by the box's clock, is its beginning there."""
+        found = self.attempts.own(set_up)
+        if found is None or not self.attempts.knows(set_up):
+            self._claim(cl.Lost(set_up))
+            return
+        self._claim(cl.Elsewhere(found[0]))
+        self._attempt(at.EndedAtBox(*found, fl.Outcome.CANCELLED, when))
+
     # ---- The module ---------------------------------------------------------------------------------------
     def _fault(self, words: str) -> None:
         self._out.append(ev.Say("exception", detail=words))
@@ -347,20 +431,7 @@
         if session.paid and session.place is None:
             self._out.append(ev.SettleIntent(session.token.id, Verdict.STARTED))
         set_up = self.attempts.set_up_id(told.session, told.attempt)
-        token, when = session.token, told.when or int(self._now)
-        started = lg.Started(
-            when,
-            set_up,
-            token.id,
-            token.tenant,
-            token.klass,
-            session.rung,
-            session.paid,
-            self._ends_ms(token),
-            token.viewer,
-            self._box_name(told.node),
-        )
-        self._out.append(ev.Account(started))
+        self._out.append(ev.Account(self._opened(session, told.when or int(self._now), set_up)))
         self._tell(fl.Started(told.session, told.node, told.attempt, 0.0))
         if told.load is not None:
             for kind, value in (
@@ -372,11 +443,27 @@
                     self._tell(fl.Note(told.session, told.node, kind, value))
         self._claim(cl.Plays(told.session))
 
+    def _opened(self, session: ev.Session, when: int, set_up: str) -> lg.Started:
+        token = session.token
+        return lg.Started(
+            when,
+            set_up,
+            token.id,
+            token.tenant,
+            token.klass,
+            session.rung,
+            session.paid,
+            self._ends_ms(token),
+            token.viewer,
+            self._box_name(session.node),
+        )
+
     def _ended(self, told: at.TellEnded) -> None:
         session = self.sessions[told.session]
         ran = told.playing or not told.outcome.proves_unrun
         set_up = told.set_up
-        if session.paid and not told.parked and (session.place is None or told.playing):
+        kept = session.place is None or told.playing
+        if session.paid and not told.parked and kept and not session.unclaimed:
             verdict = Verdict.ENDED if told.playing else Verdict.MAY_HAVE_RUN if ran else Verdict.NEVER_RAN
             self._out.append(ev.SettleIntent(session.token.id, verdict))
         if told.playing:
@@ -449,7 +536,17 @@
         match notice:
             case Hello(boot, counter, sessions):
                 self._link(node, ln.Greeted())
-                self._attempt(at.BoxLost(node, boot, frozenset(sessions), counter))
+                kept = frozenset(sessions)
+                if self.config.peers.on:
+                    # what is not of this run was taken over: the answer that said so is late, or was lost
+                    foreign = {s for s in kept if not self.attempts.knows(s) and self.attempts.own(s) is None}
+                    kept -= foreign
+                    if foreign:
+                        self._out.append(ev.FetchTaken(node))
+                self._attempt(at.BoxLost(node, boot, kept, counter))
+            case TakenThere(sessions, _, when):
+                for set_up in sessions:
+                    self._taken(set_up, when)
             case Delivered(set_up, share):
                 self._note(node, set_up, fl.NoteKind.DELIVERED, share)
             case LinkUse(set_up, link, uplink):
@@ -510,6 +607,8 @@
         for node, gone in closed:
             self._attempt(at.Drains(node, gone))
             self._link_perhaps_unwanted(node)
+        if self.config.peers.on:
+            self._out.append(ev.Listed(frozenset(box.name for box in self.boxes.values())))
 
     def _info(self, box: BoxEntry) -> fl.NodeInfo | None:
         if box.zone not in self._zones or box.kind not in self._kinds or box.cell >= self.settings.cells:
--- a/foxlift/director/daemon.py
+++ b/foxlift/director/daemon.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Callable
 from pathlib import Path
+from typing import TYPE_CHECKING
 from urllib.parse import urlsplit
 
 import msgspec
@@ -20,6 +21,7 @@
 from foxlift.catalogue import Catalogue, load_catalogue
 from foxlift.config import DirectorConfig
 from foxlift.decide import attempts as at
+from foxlift.decide.claims import Why
 from foxlift.director import events as ev
 from foxlift.director.answers import Answers
 from foxlift.director.core import Core
@@ -33,6 +35,7 @@
     Exchange,
     Failure,
     FailureKind,
+    Headers,
     Limits,
     Pool,
     PoolLimits,
@@ -47,7 +50,11 @@
 from foxlift.telemetry import Counters
 from foxlift.tokens import TokenError, Verifier, load_keys
 
+if TYPE_CHECKING:
+    from foxlift.director.peerhost import PeerHost
+
 LIST_CACHE = "boxes.json"
+TAKE_BYTES = 16 << 20  # a box full of sessions
 FLUSH_S = 2.0  # how long a stop waits for the disk
 
 _LOSSES = {
@@ -92,16 +99,28 @@
         )
         self.files.lock()
         tariff = load_tariff(Path(config.ledger.tariff)) if config.ledger.tariff else None
-        self.journal = Journal(self.files, tariff, int(config.ledger.grace_ms), on_failed=self._ledger_failed)
+        self.journal = Journal(
+            self.files,
+            tariff,
+            int(config.ledger.grace_ms),
+            on_failed=self._ledger_failed,
+            keep_open=config.peers.on,
+        )
         self.book = IntentBook(self.files, self.journal.book.account.forgot / 1000)
         self.exports = self._make_exports()
         self.counters = Counters()
         run = format(int(start * 1000) & 0xFFFFFFFFFF, "x")
+        self.peers: PeerHost | None = None
+        if config.peers.on:
+            from foxlift.director.peerhost import PeerHost
+
+            self.peers = PeerHost(self)
+            run = format(self.peers.peering.run, "x")
         self.core = Core(config, self._cached_list(), run, secret, trace, make)
         front = config.front
         self.server = Server(
             loop,
-            self._asked,
+            self.asked,
             Limits(
                 max_connections=front.max_connections,
                 max_header_bytes=front.max_header_bytes,
@@ -117,6 +136,8 @@
         core = self.core
         self.door = Door(self.verifier, self.catalogue, core.knows_class, core.knows_tenant)
         self.answers = Answers(config, self._address, core.set_up_of, core.rate_kb, core.booked)
+        if self.peers is not None:
+            self.answers.hint = self.peers.hint
         self.server.ready = self.answers.ready
         self.url = ""
         self.stopping = False
@@ -125,8 +146,9 @@
         self._feeding = False
         self._puts: dict[tuple[int, int], Call] = {}
         self._streams: dict[int, Call] = {}
-        self._pools: dict[tuple[str, int], Pool] = {}
-        self._stream_pools: dict[tuple[str, int], Pool] = {}
+        self._stream_runs: dict[int, str] = {}
+        self._pools: dict[tuple[str, int, str], Pool] = {}
+        self.on_superseded: Callable[[], None] = lambda: None
         self._addresses: dict[int, tuple[str, int]] = {}
         address = urlsplit(config.box_list.url)
         self._list_path = address.path or "/"
@@ -154,6 +176,9 @@
         """Listen, recall paid set-ups, ask for the box list; gives back the port."""
         for known in self.book.known.values():
             self.feed(ev.Remembered(known))
+        if self.peers is not None:
+            self.peers.start_ledger()
+            await self.peers.peering.start()
         self.feed(PollDue())
         self._ledger_tick()
         if self.exports is not None:
@@ -170,15 +195,30 @@
         self.stopping = True
         self.log.info("stopping", playing=self.core.attempts.live, waiting=self.core.waiting)
         until = self.loop.time() + grace_ms / 1000
+        if self.peers is not None:
+            self.peers.peering.leave()  # the others take over what plays
         while self.core.sessions and self.loop.time() < until:
             await asyncio.sleep(min(0.05, grace_ms / 1000))
         await self.server.stop(1000.0)
+        if self.peers is not None:
+            await self.peers.peering.stop()
         until = self.loop.time() + FLUSH_S
         # what was written down in the last moments must last: the disk's thread ends with close
-        while not (self.book.flushed and self.journal.log.flushed) and self.loop.time() < until:
+        while not self._flushed and self.loop.time() < until:
             await asyncio.sleep(0.005)
         self.close()
 
+    @property
+    def _flushed(self) -> bool:
+        registers = self.peers is None or self.peers.peering.book.flushed
+        return self.book.flushed and self.journal.log.flushed and registers
+
+    def superseded(self) -> None:
+        """Another process has this director's name: this one must do nothing more."""
+        self.stopping = True
+        self.close()
+        self.on_superseded()
+
     def close(self) -> None:
         """Let go of everything at once; a second call does nothing."""
         if self.timeline.closed:
@@ -186,7 +226,9 @@
         self.timeline.close()
         if self.exports is not None:
             self.exports.close()
-        for pool in (*self._pools.values(), *self._stream_pools.values(), self._list_pool):
+        if self.peers is not None:
+            self.peers.peering.close()
+        for pool in (*self._pools.values(), self._list_pool):
             pool.close()
         self.book.close()
         self.journal.close()
@@ -219,7 +261,8 @@
         self.log.warning("the loop stood still", late_ms=round(late_ms))
 
     # ---- Requests -----------------------------------------------------------------------------------------
-    def _asked(self, exchange: Exchange) -> None:
+    def asked(self, exchange: Exchange, passed: bool = False) -> None:
+        """A request of a viewer, or one that another director passed on."""
         request = exchange.request
         try:
             wish = self.door.read(request)
@@ -241,15 +284,27 @@
             return
         self._last_request += 1
         number = self._last_request
-        self.answers.hold(number, exchange, wish)
+        self.answers.hold(number, exchange, wish, expired, passed)
         exchange.on_gone = lambda: self._client_gone(number)
-        waited_ms = max((self.loop.time() - request.arrived) * 1000, 0.0)
-        self.feed(ev.ManifestAsked(number, token, wish.title, expired, waited_ms))
+        if self.peers is None or not self.peers.asked(number, passed):
+            self.ask_core(number)
+
+    def ask_core(self, number: int) -> None:
+        """Have the core answer a request that is held; nothing where its client has left."""
+        held = self.answers.held.get(number)
+        if held is None:
+            return
+        waited_ms = max((self.loop.time() - held.exchange.request.arrived) * 1000, 0.0)
+        if self.peers is not None:
+            waited_ms = self.peers.waited_ms(number)
+        self.feed(ev.ManifestAsked(number, held.wish.token, held.wish.title, held.expired, waited_ms))
 
     def _client_gone(self, number: int) -> None:
         if self.answers.gone(number):
             self.counters.add("clients gone")
             self.feed(ev.ClientGone(number))
+            if self.peers is not None:
+                self.peers.peering.left(number)
 
     # ---- The core -----------------------------------------------------------------------------------------
     def feed(self, event: ev.Event) -> None:
@@ -277,7 +332,13 @@
                 self.answers.failed(request, number)
             case ev.AnswerDown(request, why):
                 self.counters.add("turned down", why.value)
-                self.answers.down(request, why)
+                unreached = self.peers is not None and why is Why.UNREACHED
+                self.answers.down(request, why, self.peers.come_back_ms() if unreached else 0.0)  # type: ignore[union-attr]
+            case ev.PassOn() | ev.AskAbout() | ev.FetchTaken() | ev.Listed():
+                if self.peers is not None:
+                    self.peers.carry_out(action)
+            case ev.KeepIntent() if self.peers is not None:
+                self.peers.peering.claim(action, lambda: self._keep_intent(action))
             case ev.KeepIntent():
                 self._keep_intent(action)
             case ev.SettleIntent(token, verdict):
@@ -318,21 +379,24 @@
             self._addresses[node] = (box.host, box.port)
         return self._addresses[node]
 
-    def _pool(self, node: int, streams: bool = False) -> Pool:
+    def pool(self, node: int, use: str = "calls") -> Pool:
+        """Connections to a box: for `calls`, notice `streams` and, between directors, `takes`."""
         address = self._address(node)
-        pools = self._stream_pools if streams else self._pools
-        pool = pools.get(address)
+        pool = self._pools.get((*address, use))
         if pool is None:
             config = self.config.boxes
             limits = PoolLimits(
                 connect_ms=config.connect_ms,
                 max_connections=config.max_connections,
                 idle_ms=config.idle_ms,
-                max_answer_bytes=config.max_answer_bytes,
+                max_answer_bytes=TAKE_BYTES if use == "takes" else config.max_answer_bytes,
             )
-            pool = pools[address] = Pool(self.loop, address[0], address[1], limits)
+            pool = self._pools[*address, use] = Pool(self.loop, *address, limits)
         return pool
 
+    def _owner(self) -> Headers:
+        return () if self.peers is None else self.peers.owner()
+
     def _keep_intent(self, keep: ev.KeepIntent) -> None:
         """Write the intent; a disk that does not make it last within `intent-ms` counts as one that failed.
 
@@ -378,14 +442,19 @@
             path_token=session.path_token,
             within_ms=put.timeout_ms,
             max_kbps=put.booked.max_kbps,
+            run=0 if self.peers is None else self.peers.peering.run,
+            grace_ms=self.config.peers.grace_ms if self.peers is not None else 0.0,
+            note="" if self.peers is None else self.peers.note(session),
         )
 
         def result(found: Answer | Failure) -> None:
             self._puts.pop(key, None)
+            if self.peers is not None:
+                self.peers.refused(found)
             self.feed(_put_event(key, found))
 
         self.counters.add("set-ups sent")
-        self._puts[key] = self._pool(put.node).call(
+        self._puts[key] = self.pool(put.node).call(
             "PUT",
             f"/sessions/{put.set_up}",
             result,
@@ -400,18 +469,19 @@
 
         def result(found: Answer | Failure) -> None:
             self._puts.pop(key, None)
-            if isinstance(found, Answer) and found.status in (404, 410):
+            lost = self.peers is not None and self.peers.refused(found, put.set_up)
+            if isinstance(found, Answer) and (lost or found.status in (404, 410)):
                 self.feed(ev.PlaceGone(put.session.number))
                 self.feed(at.Answered(*key, False, fl.Outcome.FULL))  # nothing runs: the box says so
                 return
             self.feed(_put_event(key, found))
 
         self.counters.add("taken up again")
-        self._puts[key] = self._pool(put.node).call(
+        self._puts[key] = self.pool(put.node).call(
             "PUT",
             f"/sessions/{put.set_up}/resume",
             result,
-            headers=(("content-type", "application/json"),),
+            headers=(("content-type", "application/json"), *self._owner()),
             body=msgspec.json.encode(order),
             timeout_ms=put.timeout_ms,
         )
@@ -419,31 +489,54 @@
     def _change_rung(self, change: ev.ChangeRung) -> None:
         booked = change.booked
         order = RungOrder(change.rung, booked.rate_kb, booked.max_kbps)
-        self._pool(change.node).call(
+
+        def result(found: Answer | Failure) -> None:
+            # the box's next rung notice tells what is in force
+            if self.peers is not None:
+                self.peers.refused(found, change.set_up)
+
+        self.pool(change.node).call(
             "PUT",
             f"/sessions/{change.set_up}/rung",
-            lambda found: None,  # the box's next rung notice tells what is in force
-            headers=(("content-type", "application/json"),),
+            result,
+            headers=(("content-type", "application/json"), *self._owner()),
             body=msgspec.json.encode(order),
             timeout_ms=2000.0,
         )
 
     def _release(self, release: at.Release) -> None:
         def result(found: Answer | Failure) -> None:
-            if isinstance(found, Answer) and found.status in (200, 204, 404):
+            others = self.peers is not None and self.peers.refused(found)
+            if others or (isinstance(found, Answer) and found.status in (200, 204, 404)):
                 self.feed(at.Released(release.set_up))
             else:
                 self.feed(at.ReleaseFailed(release.set_up))
 
         def go() -> None:
-            self._pool(release.node).call("DELETE", f"/sessions/{release.set_up}", result, timeout_ms=2000.0)
+            self.pool(release.node).call(
+                "DELETE", f"/sessions/{release.set_up}", result, headers=self._owner(), timeout_ms=2000.0
+            )
 
         if release.again:
             self.timeline.later(self.config.boxes.release_retry_ms, go)
         else:
             go()
 
+    def reopen_notices(self, node: int) -> None:
+        """A stream that was opened in an earlier run says nothing of this one."""
+        call = self._streams.get(node)
+        if call is not None and self._stream_runs.get(node) != self.core.run:
+            call.cancel()
+
     def _open_notices(self, node: int) -> None:
+        keep = ""
+        if self.peers is not None:
+            if not self.peers.peering.own_done(self.peers.box(node)):
+                # until then hello would not name what earlier runs have there
+                self.loop.call_soon(self.feed, ev.StreamBroken(node))
+                return
+            keep = f"&keep={self.peers.peering.run}"
+        self._stream_runs[node] = self.core.run
         reader = NoticeReader()
 
         def data(piece: bytes) -> None:
@@ -456,14 +549,16 @@
             for notice in notices:
                 self.feed(ev.Notice(node, notice))
 
-        def result(_: Answer | Failure) -> None:
+        def result(found: Answer | Failure) -> None:
+            if self.peers is not None:
+                self.peers.refused(found)
             if self._streams.get(node) is call:
                 del self._streams[node]
                 self.feed(ev.StreamBroken(node))
 
-        call = self._pool(node, streams=True).call(
+        call = self.pool(node, "streams").call(
             "GET",
-            f"/notices?director={self.config.name}&run={self.core.run}",
+            f"/notices?director={self.config.name}&run={self.core.run}{keep}",
             result,
             headers=(("accept", "text/event-stream"),),
             on_data=data,
--- a/foxlift/director/door.py
+++ b/foxlift/director/door.py
@@ -1,6 +1,8 @@
 """The director's door: what a request asks for, with which token; or why it is turned away. No I/O.
 
     /dash/{title}/manifest.mpd?token=...     the session's manifest; the token may come as Bearer instead
+    ...&at={owner/run/box/set-up}            among directors that take over each other's work: who had the
+                                             session when the manifest was written; a hint and no more
     /dash/{title}/back/{token or -}/{rest}   the way back: a segment whose box did not answer. The session's
                                              box is found again, or the session set up anew, and the player
                                              sent there; `-` where the token is in the header
@@ -21,6 +23,7 @@
 
 KNOWN_TARGETS = 10_000  # verified targets kept: what comes again soon costs no second look at its signature
 REST_MOST = 2000  # characters of a segment's path
+HINT_MOST = 500
 
 
 class Problem(Exception):
@@ -36,13 +39,14 @@
     """What a request asks for.
 
     `url_token`: the token where it came in the URL, to be put into URLs again; one from a header never enters
-    a URL. `rest`: None for a manifest, else the segment's path below the title.
+    a URL. `rest`: None for a manifest, else the segment's path below the title. `hint`: who had the session.
     """
 
     token: SessionToken
     title: Title
     url_token: str
     rest: str | None
+    hint: str = ""
 
 
 class Door:
@@ -74,7 +78,8 @@
             raise Problem(405, "only GET and HEAD are offered here", extra=(("allow", "GET, HEAD, OPTIONS"),))
         bearer = _bearer(request.headers.get("authorization", ""))
         token, title = self._verify(unquote(parts[2]), bearer or text)
-        return Wish(token, title, "" if bearer else text, rest)
+        hint = _hint(request.query) if rest is None and "at=" in request.query else ""
+        return Wish(token, title, "" if bearer else text, rest, hint)
 
     def _verify(self, name: str, text: str) -> tuple[SessionToken, Title]:
         key = f"{name}\n{text}"
@@ -127,6 +132,15 @@
     return found[0] if found else ""
 
 
+def _hint(query: str) -> str:
+    """One that makes no sense is no hint: whoever comes with it is served as anybody."""
+    try:
+        found = parse_qs(query, max_num_fields=50).get("at", [])
+    except ValueError:
+        return ""
+    return found[0] if len(found) == 1 and len(found[0]) <= HINT_MOST else ""
+
+
 def _rest(path: str, query: str) -> str:
     """A segment's path as it goes into a Location: nothing that leads up, nothing that ends a header."""
     whole = path + (f"?{query}" if query else "")
@@ -137,10 +151,10 @@
     return whole
 
 
-def manifest_url(url: str, title: str, token: str) -> str:
+def manifest_url(url: str, title: str, token: str, hint: str = "") -> str:
     """Where a session's manifest is loaded again."""
-    found = f"{url}/dash/{quote(title)}/manifest.mpd"
-    return f"{found}?token={quote(token)}" if token else found
+    fields = ([f"token={quote(token)}"] if token else []) + ([f"at={quote(hint, safe='/')}"] if hint else [])
+    return f"{url}/dash/{quote(title)}/manifest.mpd" + ("?" + "&".join(fields) if fields else "")
 
 
 def back_url(url: str, title: str, token: str) -> str:
--- a/foxlift/director/events.py
+++ b/foxlift/director/events.py
@@ -10,6 +10,7 @@
 from foxlift.http import Headers
 from foxlift.ledger import Ended, Ran, Rerung, Started, TurnedAway
 from foxlift.membership import BoxList, ListAnswer, ListFailed, Poll, PollDue
+from foxlift.recovery.claims import Claim
 from foxlift.store import Known, Verdict
 from foxlift.tokens import SessionToken
 
@@ -77,6 +78,56 @@
     known: Known
 
 
+@dataclass(frozen=True, slots=True)
+class ClaimedElsewhere:
+    """The token of a paid set-up that was about to leave is another's; or nobody could be asked in time."""
+
+    session: int
+    attempt: int
+    claim: Claim | None
+    reached: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Adoptee:
+    """A session at a box that this director owns from now on. `at`: since when, Unix ms of the box.
+
+    `until`: 0, or until when it is parked there (Unix seconds).
+    """
+
+    token: SessionToken
+    title: Title
+    set_up: str
+    rung: int
+    path_token: str
+    at: int
+    until: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Adopted:
+    """A box has handed these over. `counter`, `boot`: of its answer."""
+
+    node: int
+    boot: str
+    counter: int
+    sessions: tuple[Adoptee, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Renewed:
+    """This director is in another run from now on."""
+
+    run: str
+
+
+@dataclass(frozen=True, slots=True)
+class NotOwner:
+    """A box refused a command: it was taken over by another director."""
+
+    set_up: str
+
+
 Event = (
     ManifestAsked
     | ClientGone
@@ -86,6 +137,10 @@
     | LinkTimer
     | TimerDue
     | Remembered
+    | ClaimedElsewhere
+    | Adopted
+    | Renewed
+    | NotOwner
     | PollDue
     | ListAnswer
     | ListFailed
@@ -120,6 +175,7 @@
     # as last shown: rung, whose token in its URLs; headers and body
     manifest: tuple[tuple[int, str], Headers, bytes] | None = None
     over: bool = False
+    unclaimed: bool = False  # its token is another's: nothing of it is to be written down
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,6 +211,36 @@
     why: claims.Why
 
 
+@dataclass(frozen=True, slots=True)
+class PassOn:
+    """Its token is claimed elsewhere: find out where this request goes. None: by the record of this run."""
+
+    request: int
+    claim: Claim | None
+
+
+@dataclass(frozen=True, slots=True)
+class AskAbout:
+    """Its token is in the record of an earlier run: its box may still play it."""
+
+    request: int
+    token: str
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """The boxes that the list names, by name."""
+
+    boxes: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class FetchTaken:
+    """A box names sessions of this director that it does not know: ask the box for them."""
+
+    node: int
+
+
 @dataclass(frozen=True, slots=True)
 class KeepIntent:
     """Make the intent of a paid set-up durable, then report IntentDurable or IntentFailed."""
@@ -266,6 +352,10 @@
     | AnswerRefused
     | AnswerFailed
     | AnswerDown
+    | PassOn
+    | AskAbout
+    | FetchTaken
+    | Listed
     | KeepIntent
     | SettleIntent
     | PutSetUp
--- a/foxlift/ledger/journal.py
+++ b/foxlift/ledger/journal.py
@@ -10,11 +10,12 @@
 from dataclasses import replace
 
 from foxlift.ledger.account import Account
-from foxlift.ledger.book import Book, Event
+from foxlift.ledger.book import Book, Event, Started
 from foxlift.ledger.export import Standing
 from foxlift.ledger.records import (
     Acknowledged,
     Batched,
+    Closed,
     Fenced,
     Linked,
     Record,
@@ -73,8 +74,12 @@
         segment_bytes: int = SEGMENT_BYTES,
         on_failed: Callable[[OSError], None] = lambda error: None,
         snapshot_every: int = SNAPSHOT_EVERY,
+        keep_open: bool = False,
     ) -> None:
-        """Takes the log in and closes what an earlier run left open. Raises OSError and LogError."""
+        """Takes the log in and closes what an earlier run left open. Raises OSError and LogError.
+
+        `keep_open`: that may still play; what is not told to by then is closed by `close_left`.
+        """
         self.book = Book(tariff, grace_ms)
         self._on_failed, self._told = on_failed, False
         # as the log tells; the exporter's own, `standing`, runs ahead of it and behind it
@@ -99,7 +104,22 @@
             if chain != linked.chain:
                 raise LogError(f"ledger: record {number} does not follow from those before it")
         self.standing = replace(self._logged)
-        self._append(self.book.recover())
+        self._left: dict[str, int] = {}  # open when the earlier run died, and last known to play then
+        if keep_open:
+            self._left = {session: found.known for session, found in self.book.account.open.items()}
+        else:
+            self._append(self.book.recover())
+
+    def close_left(self) -> int:
+        """Close what the earlier run left open and nobody told of since, as estimated; how many were."""
+        left, self._left = self._left, {}
+        account = self.book.account
+        closed = [
+            self.book.write(Closed(account.last_at, known, session, True))
+            for session, known in sorted(left.items())
+            if session in account.open
+        ]
+        return self._append(closed)
 
     def _find_snapshot(self, tariff: Tariff | None) -> Snapshot | None:
         """The snapshot, where the log holds its record: a log brought back from yesterday does not."""
@@ -141,6 +161,8 @@
 
     def handle(self, now_ms: int, event: Event) -> int:
         """Write down what an event means; gives back how many records. Raises LedgerError."""
+        if isinstance(event, Started):
+            self._left.pop(event.session, None)  # it plays on
         return self._append(self.book.handle(now_ms, event))
 
     def _append(self, records: list[Linked]) -> int:
--- a/foxlift/peers/view.py
+++ b/foxlift/peers/view.py
@@ -88,7 +88,14 @@
     """This director stops in order: say so to some, they tell the rest."""
 
 
-Event = Asked | Answered | Unanswered | TimerDue | Reconfigured | Leave
+@dataclass(frozen=True, slots=True)
+class Renew:
+    """This director goes on in a higher run: what others believe of the one before is over."""
+
+    run: int
+
+
+Event = Asked | Answered | Unanswered | TimerDue | Reconfigured | Leave | Renew
 
 
 # ---- Timers and actions -----------------------------------------------------------------------------------
@@ -266,6 +273,9 @@
                 self._reconfigured(names)
             case Leave():
                 self._leave()
+            case Renew(run):
+                self.run, self.incarnation = max(run, self.run), 0
+                self._tell(self._self())
         return [action for action in self._out if isinstance(action, Superseded)] or self._out
 
     # ---- Probes -------------------------------------------------------------------------------------------
--- /dev/null
+++ b/foxlift/recovery/takeover.py
@@ -0,0 +1,315 @@
+"""Which directors' work at which boxes this one takes over, and when. No I/O, no clock, random from a seed.
+
+For each director that is gone, each box of the list has one successor: the first of those there by rendezvous
+of both names. So a dead director's work is spread over the survivors by box, and costs one request a box.
+
+    work (of, box)  event                               next      what is done
+    (none)          of is gone, this one is first       WAITS     a while drawn from the seed
+    WAITS           due, fewer than MOST_OUT are out    ASKED     Take
+    ASKED           Took, more is there                 WAITS     the next part, after a while
+    ASKED           Took                                DONE
+    ASKED           NotTaken                            WAITS     a while that doubles
+    WAITS           another is first by now             (none)
+    any             of is back in a later run           (none)
+    any             the box left the list               (none)
+
+A view is a hint and never a proof: it says when to ask. The box is asked to compare and set, and refuses
+where it still hears from the old owner, unless the asker is `certain`: the old owner has left in order, or a
+majority has believed it dead for CERTAIN_MS. So two halves of a cut fleet that both reach the boxes take
+nothing from each other, and a director that stands still loses its work only to a majority.
+
+A director's own earlier run is taken over in the same way, at each box, before anything else of it is done.
+One that was never heard of since this director's start counts as gone after UNKNOWN_MS: a fleet that was
+killed whole finds the sessions of those who do not come back at the boxes.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from foxlift.accord.spread import holders_of
+from foxlift.peers.messages import State
+
+MOST_OUT = 4  # takes out at once
+SPREAD_MS = 200.0  # the first take of a work is drawn from so long
+NEXT_MS = 30.0  # between parts of one box's work, and half of it more by chance
+AGAIN_MS = 250.0  # after a take that had no answer or was refused; doubles
+AGAIN_MOST_MS = 4000.0
+CERTAIN_MS = 3000.0  # believed dead for so long, by a majority
+UNKNOWN_MS = 20_000.0
+
+
+class Why(Enum):
+    """Why a take brought nothing."""
+
+    SILENT = "no answer"
+    ALIVE = "the box hears from its owner"
+    FENCED = "this director's own run is over at the box"
+
+
+class _State(Enum):
+    WAITS = "waits"
+    ASKED = "asked"
+    DONE = "done"
+
+
+# ---- Events -----------------------------------------------------------------------------------------------
+@dataclass(frozen=True, slots=True)
+class Started:
+    """This director begins a run: what earlier runs of it left at boxes is its own. `run` is the new one."""
+
+    run: int
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """What is believed of a peer now; of all that are there, itself first; whether they are a majority."""
+
+    peer: str
+    state: State
+    run: int
+    there: tuple[str, ...]
+    majority: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """The boxes of the list."""
+
+    boxes: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class Took:
+    """The box has answered; `more`: it holds more that is to be taken."""
+
+    work: int
+    more: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class NotTaken:
+    """It has not, or refused."""
+
+    work: int
+    why: Why
+
+
+@dataclass(frozen=True, slots=True)
+class Due:
+    """A wait of a work is over."""
+
+    work: int
+    turn: int
+
+
+@dataclass(frozen=True, slots=True)
+class UnknownDue:
+    """Whoever was not heard of until now counts as gone."""
+
+
+Event = Started | Seen | Listed | Took | NotTaken | Due | UnknownDue
+
+
+# ---- Actions ----------------------------------------------------------------------------------------------
+@dataclass(frozen=True, slots=True)
+class Take:
+    """Ask the box for what `of` owns there in runs up to `upto` (0: in whichever the box has seen last)."""
+
+    work: int
+    box: str
+    of: str
+    upto: int
+    certain: bool
+
+
+@dataclass(frozen=True, slots=True)
+class StartTimer:
+    """Tell this event after so long."""
+
+    delay_ms: float
+    event: Due | UnknownDue
+
+
+Action = Take | StartTimer
+
+
+@dataclass(slots=True)
+class _Gone:
+    run: int
+    since: float
+    left: bool = False
+
+
+@dataclass(slots=True)
+class _Work:
+    number: int
+    of: str
+    box: str
+    state: _State = _State.WAITS
+    turn: int = 0
+    due: bool = False  # waits for one of the few that are out
+    wait_ms: float = AGAIN_MS
+
+
+@dataclass(slots=True)
+class Takeovers:
+    """One director's part. `names`: of the settings, its own among them."""
+
+    name: str
+    names: frozenset[str]
+    seed: int
+    _boxes: frozenset[str] = frozenset()
+    _there: tuple[str, ...] = ()
+    _majority: bool = False
+    _gone: dict[str, _Gone] = field(default_factory=dict)
+    _heard: set[str] = field(default_factory=set)
+    _work: dict[tuple[str, str], _Work] = field(default_factory=dict)
+    _by_number: dict[int, _Work] = field(default_factory=dict)
+    _last: int = 0
+    _random: random.Random = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._random = random.Random(f"{self.seed} takeovers {self.name}")
+        self._there = (self.name,)
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        """Take one event in; `now` in ms on a clock that never steps back."""
+        match event:
+            case Started(run):
+                return self._started(now, run)
+            case Seen():
+                return self._seen(now, event)
+            case Listed(boxes):
+                self._boxes = boxes
+                return self._plan()
+            case UnknownDue():
+                for name in sorted(self.names - self._heard - {self.name}):
+                    self._gone.setdefault(name, _Gone(0, now))
+                return self._plan()
+            case Due(number, turn):
+                work = self._by_number.get(number)
+                if work is None or work.turn != turn or work.state is not _State.WAITS:
+                    return []
+                work.due = True
+                return self._let_out(now)
+            case Took(number, more):
+                return self._took(now, number, more)
+            case NotTaken(number, why):
+                return self._not_taken(now, number, why)
+
+    def successor(self, of: str, box: str) -> str:
+        """Who takes over what `of` has at a box, as this director sees it."""
+        candidates = [name for name in self._there if name != of] or [self.name]
+        return holders_of(f"{of}/{box}", candidates, 1)[0]
+
+    def certain(self, now: float, name: str) -> bool:
+        """Whether its end is sure enough to go before a box's hearing from it."""
+        gone = self._gone.get(name)
+        if gone is None:
+            return False
+        return gone.left or (self._majority and gone.run > 0 and now - gone.since >= CERTAIN_MS)
+
+    def own_done(self, box: str) -> bool:
+        """Whether what earlier runs of this director left at a box is this run's by now."""
+        work = self._work.get((self.name, box))
+        return work is not None and work.state is _State.DONE
+
+    def is_gone(self, name: str) -> bool:
+        """Whether its work is to be taken over."""
+        return name in self._gone
+
+    def sizes(self) -> dict[str, int]:
+        """Entries in each table."""
+        return {"gone": len(self._gone), "work": len(self._work)}
+
+    @property
+    def settled(self) -> bool:
+        """Whether nothing is left to be taken over here, as far as is known."""
+        return all(work.state is _State.DONE for work in self._work.values())
+
+    # ---- What is to be done -------------------------------------------------------------------------------
+    def _started(self, now: float, run: int) -> list[Action]:
+        first = self.name not in self._gone
+        self._gone[self.name] = _Gone(run - 1, now, left=True)  # nobody is as certain as itself
+        self._forget(lambda work: work.of == self.name)
+        wait: list[Action] = [StartTimer(UNKNOWN_MS, UnknownDue())] if first else []
+        return [*wait, *self._plan()]
+
+    def _seen(self, now: float, seen: Seen) -> list[Action]:
+        self._there, self._majority = seen.there, seen.majority
+        if seen.peer == self.name or seen.peer not in self.names:
+            if seen.peer != self.name:
+                self._gone.pop(seen.peer, None)  # the settings name it no more
+            return self._plan()
+        known = self._gone.get(seen.peer)
+        if seen.state in (State.DEAD, State.LEFT):
+            self._heard.add(seen.peer)
+            left = seen.state is State.LEFT
+            if known is None or known.run < seen.run or (left and not known.left):
+                self._gone[seen.peer] = _Gone(seen.run, now, left)
+                self._forget(lambda work: work.of == seen.peer)
+        elif seen.state in (State.ALIVE, State.SUSPECTED):
+            self._heard.add(seen.peer)
+            if known is not None:
+                # refuted, or back in a later run: then its own next run takes what is left
+                del self._gone[seen.peer]
+        return self._plan()
+
+    def _plan(self) -> list[Action]:
+        """Works that are this director's by now, and none that are not."""
+        wanted = {
+            (of, box)
+            for of in self._gone
+            for box in self._boxes
+            if of == self.name or self.successor(of, box) == self.name
+        }
+        self._forget(lambda work: (work.of, work.box) not in wanted)
+        out: list[Action] = []
+        for key in sorted(wanted - self._work.keys()):
+            self._last += 1
+            work = self._work[key] = self._by_number[self._last] = _Work(self._last, *key)
+            out.append(self._wait(work, SPREAD_MS * self._random.random()))
+        return out
+
+    def _forget(self, which: Callable[[_Work], bool]) -> None:
+        for key in [key for key, work in self._work.items() if which(work)]:
+            del self._by_number[self._work.pop(key).number]
+
+    def _wait(self, work: _Work, delay_ms: float) -> StartTimer:
+        work.state, work.turn, work.due = _State.WAITS, work.turn + 1, False
+        return StartTimer(delay_ms, Due(work.number, work.turn))
+
+    def _let_out(self, now: float) -> list[Action]:
+        """Works whose wait is over, own ones first, few at a time."""
+        out = sum(work.state is _State.ASKED for work in self._work.values())
+        due = [work for work in self._work.values() if work.due]
+        actions: list[Action] = []
+        for work in sorted(due, key=lambda work: (work.of != self.name, work.number))[: MOST_OUT - out]:
+            work.state, work.due = _State.ASKED, False
+            upto, certain = self._gone[work.of].run, self.certain(now, work.of)
+            actions.append(Take(work.number, work.box, work.of, upto, certain))
+        return actions
+
+    def _took(self, now: float, number: int, more: bool) -> list[Action]:
+        work = self._by_number.get(number)
+        if work is None or work.state is not _State.ASKED:
+            return self._let_out(now)
+        work.wait_ms = AGAIN_MS
+        if more:
+            return [self._wait(work, NEXT_MS * (1 + 0.5 * self._random.random())), *self._let_out(now)]
+        work.state = _State.DONE
+        return self._let_out(now)
+
+    def _not_taken(self, now: float, number: int, why: Why) -> list[Action]:
+        work = self._by_number.get(number)
+        if work is None or work.state is not _State.ASKED:
+            return self._let_out(now)
+        if why is Why.FENCED and work.of == self.name:
+            work.state = _State.DONE  # a later run of this director is at work there already
+            return self._let_out(now)
+        wait, work.wait_ms = work.wait_ms, min(work.wait_ms * 2, AGAIN_MOST_MS)
+        return [self._wait(work, wait * (0.5 + 0.5 * self._random.random())), *self._let_out(now)]
--- a/foxlift/standins/box.py
+++ b/foxlift/standins/box.py
@@ -10,11 +10,22 @@
 
 import msgspec
 
-from foxlift.boxes.notices import BoxNotice, Delivered, EndedThere, Hello, LinkUse, RungThere, encode_notice
+from foxlift.boxes.notices import (
+    BoxNotice,
+    Delivered,
+    EndedThere,
+    Hello,
+    LinkUse,
+    RungThere,
+    TakenThere,
+    encode_notice,
+)
 from foxlift.boxes.resource import RungOrder, SetUpOrder
+from foxlift.boxes.takeover import MOST_TAKEN, OWNER, GoneThere, HeldThere, TakeAnswer, TakeOrder
 from foxlift.http import Cors, Exchange, Headers, Limits, Request, Server, StreamOut
 from foxlift.standins.media import Filler, Media
 from foxlift.standins.model import BoxModel, BoxSession
+from foxlift.standins.owners import Owners
 
 TICK_S = 0.1
 PIECE_S = 0.25  # of its session's rate is sent at a time: what is small leaves whole, as from any shaper
@@ -54,6 +65,7 @@
         self._cors = Cors(origins)
         self.on_fallen = on_fallen
         self.on_segment: Callable[[str, str, Request], None] | None = None
+        self.owners = Owners()
         self.port = 0
         self.up = False
         self.hanging = False
@@ -76,6 +88,7 @@
     async def start(self, port: int = 0, cold: bool = False) -> None:
         """Begin to serve as a new process of the same name."""
         self.model.start(self.loop.time(), cold)
+        self.owners = Owners(unix_ms())
         self.hanging, self.lose_answers, self.answer_slowly = False, 0.0, False
         self._server = Server(self.loop, self._asked, Limits(idle_time_ms=30_000.0), self._cors)
         self.port = await self._server.listen("127.0.0.1", port or self.port)
@@ -123,6 +136,8 @@
             self._resume(exchange, parts[1])
         elif parts[0] == "sessions" and len(parts) == 2 and method == "DELETE":
             self._delete(exchange, parts[1])
+        elif parts == ["takeovers"] and method == "POST":
+            self._takeover(exchange)
         elif parts == ["notices"] and method == "GET":
             self._notices(exchange)
         elif parts[0] == "s" and len(parts) >= 5 and method in ("GET", "HEAD"):
@@ -145,6 +160,9 @@
         except msgspec.MsgspecError as error:
             exchange.reply_problem(400, "malformed set-up", str(error))
             return
+        if order.run and self.owners.fenced(order.director, order.run):
+            self._refuse(exchange, "fenced")
+            return
         if set_up in model.sessions:
             self._done(exchange, 200, model.sessions[set_up])  # idempotent: it runs already
             return
@@ -168,9 +186,14 @@
                 self.on_fallen(self)
             return False
         if why is not None:
-            exchange.reply_problem(503, why, extra=(("foxlift-refusal", why), *self._load_header()))
+            self._refuse(exchange, why)
         return why is None
 
+    def _refuse(self, exchange: Exchange, why: str, status: int = 503) -> None:
+        """The box's own word that nothing was done."""
+        if not exchange.gone:
+            exchange.reply_problem(status, why, extra=(("foxlift-refusal", why), *self._load_header()))
+
     def _set_up_done(self, exchange: Exchange, set_up: str, order: SetUpOrder, lost: bool) -> None:
         model, now = self.model, self.loop.time()
         model.setting_up -= 1
@@ -178,12 +201,19 @@
             if not exchange.gone:
                 exchange.reply_problem(410, "released meanwhile")
             return
+        if order.run and self.owners.fenced(order.director, order.run):
+            self._refuse(exchange, "fenced")  # taken over meanwhile: it never ran, and never will
+            return
         director, _, _ = set_up.rpartition("-")[0].rpartition("-")
         model.sessions[set_up] = BoxSession(
             set_up, order.director, director, order.title, order.path_token, order.rate_kb, order.rung, now
         )
         session = model.sessions[set_up]
         session.paid, session.max_kbps = order.paid, order.max_kbps
+        session.klass, session.tenant, session.claim = order.klass, order.tenant, order.claim
+        session.note, session.grace_s = order.note, order.grace_ms / 1000
+        if order.run:
+            self.owners.begin(set_up, order.director, order.run, unix_ms())
         model.counter += 1
         self._stream_lost.setdefault(order.director, now)
         if order.director in self._streams:
@@ -218,6 +248,8 @@
         if session is None:
             exchange.reply_problem(404, "no such session")
             return
+        if not self._commands(exchange, set_up):
+            return
         try:
             order = msgspec.json.decode(exchange.request.body, type=RungOrder)
         except msgspec.MsgspecError as error:
@@ -228,6 +260,18 @@
         exchange.reply(204, self._load_header())
         self._tell(session.director, RungThere(set_up, order.rung, session.told_ms))
 
+    def _commands(self, exchange: Exchange, set_up: str) -> bool:
+        """Whether the sender owns the session; else it is told that it does not, and nothing is done."""
+        name, _, run = exchange.request.headers.get(OWNER, "").rpartition("/")
+        if set_up not in self.owners.sessions or (
+            run.isdigit() and self.owners.may_command(set_up, name, int(run))
+        ):
+            return True
+        owned = self.owners.sessions[set_up]
+        extra = (("foxlift-refusal", "not-owner"), (OWNER, f"{owned.name}/{owned.run}"))
+        exchange.reply_problem(409, "another director owns this session", extra=extra)
+        return False
+
     def _take_rung(self, session: BoxSession, order: RungOrder) -> None:
         session.rung, session.rate_kb, session.max_kbps = order.rung, order.rate_kb, order.max_kbps
 
@@ -245,6 +289,8 @@
         if set_up not in model.parked:
             exchange.reply_problem(404, "no such session is parked here")
             return
+        if not self._commands(exchange, set_up):
+            return
         if not self._has_room(exchange, now):
             return
         session, _ = model.parked.pop(set_up)
@@ -255,14 +301,88 @@
         self._done(exchange, 200, session)
 
     def _delete(self, exchange: Exchange, set_up: str) -> None:
+        if not self._commands(exchange, set_up):
+            return
         # kept for a while: a set-up that was sent before may come after
         self.model.gone[set_up] = self.loop.time() + 30.0
         known = self.model.sessions.pop(set_up, None) or self.model.parked.pop(set_up, None)
+        self.owners.over(set_up, unix_ms())
         if known is None:
             exchange.reply_problem(404, "no such session")
         else:
             exchange.reply(204)
 
+    # ---- Between directors --------------------------------------------------------------------------------
+    def _takeover(self, exchange: Exchange) -> None:
+        """Compare and set: what `of` owns in runs up to `upto` is the asker's from now on."""
+        owners, model, now_ms = self.owners, self.model, unix_ms()
+        try:
+            order = msgspec.json.decode(exchange.request.body, type=TakeOrder)
+        except msgspec.MsgspecError as error:
+            exchange.reply_problem(400, "malformed takeover", str(error))
+            return
+        if owners.fenced(order.by, order.run) or (order.of == order.by and order.upto >= order.run):
+            self._refuse(exchange, "fenced", 409)
+            return
+        if order.of != order.by and (heard := owners.streams.get(order.of, 0)):
+            later = 0 < order.upto < heard
+            if later or not order.certain:
+                self._refuse(exchange, "alive", 409)
+                return
+        most = MOST_TAKEN
+        taken = owners.take(order.of, order.upto, order.by, order.run, now_ms, order.only, most)
+        for set_up in taken.set_ups:
+            session = self._held(set_up)
+            session.director = order.by
+            session.told_ms = max(session.told_ms, now_ms)
+        model.counter += len(taken.set_ups)  # an earlier hello does not tell of them
+        if order.by not in self._streams:
+            self._stream_lost.setdefault(order.by, self.loop.time())
+        if taken.set_ups and order.of != order.by:
+            self._tell(order.of, TakenThere(taken.set_ups, order.by, now_ms))
+        yours = [
+            set_up
+            for set_up, owned in owners.sessions.items()
+            if owned.taken
+            and (owned.name, owned.run) == (order.by, order.run)
+            and order.only in (None, set_up)
+        ]
+        only, owner = owners.became(order.only, order.by) if order.only else ("", "")
+        gone = owners.lost.get(order.by, {}) if order.of == order.by else {}
+        answer = TakeAnswer(
+            model.boot,
+            model.counter,
+            now_ms,
+            owners.since_ms(),
+            tuple(map(self._held_there, yours)),
+            tuple(GoneThere(set_up, at, by) for set_up, (at, by) in gone.items()),
+            taken.more,
+            only,  # type: ignore[arg-type]
+            owner,
+        )
+        exchange.reply(200, (("content-type", "application/json"),), msgspec.json.encode(answer))
+
+    def _held(self, set_up: str) -> BoxSession:
+        found = self.model.sessions.get(set_up)
+        return found if found is not None else self.model.parked[set_up][0]
+
+    def _held_there(self, set_up: str) -> HeldThere:
+        session, owned = self._held(set_up), self.owners.sessions[set_up]
+        _, until = self.model.parked.get(set_up, (None, 0.0))
+        return HeldThere(
+            set_up,
+            session.title,
+            session.klass,
+            session.tenant,
+            session.claim,
+            session.paid,
+            session.rung,
+            session.path_token,
+            session.note,
+            owned.since_ms,
+            max(int((until - self.loop.time()) * 1000), 1) if until else 0,
+        )
+
     # ---- Segments -----------------------------------------------------------------------------------------
     def _segment(self, exchange: Exchange, parts: list[str]) -> None:
         session = self.model.sessions.get(parts[1])
@@ -335,22 +455,39 @@
     def _notices(self, exchange: Exchange) -> None:
         query = dict(pair.partition("=")[::2] for pair in exchange.request.query.split("&"))
         director, run = query.get("director", ""), query.get("run", "")
+        keep = int(query["keep"]) if query.get("keep", "").isdigit() else 0
+        if keep and self.owners.fenced(director, keep):
+            self._refuse(exchange, "fenced", 409)
+            return
         old = self._streams.pop(director, None)
         if old is not None:
             old[1].finish()
         for set_up, session in list(self.model.sessions.items()):
-            if session.director == director and session.run != f"{director}.{run}":
+            kept = set_up in self.owners.sessions  # whoever owns it decides
+            if not kept and session.director == director and session.run != f"{director}.{run}":
                 del self.model.sessions[set_up]  # of a process of that director that is no more
         stream = exchange.start_stream(200, (("content-type", "text/event-stream"),))
         self._streams[director] = (run, stream)
         self._stream_lost.pop(director, None)
+        if keep:
+            self.owners.streams[director] = keep
         exchange.on_gone = lambda: self._notices_gone(director, stream)
-        held = tuple(s.set_up for s in self.model.sessions.values() if s.director == director)
+        held = tuple(
+            s.set_up
+            for s in self.model.sessions.values()
+            if s.director == director
+            and (
+                not keep
+                or s.set_up not in self.owners.sessions
+                or self.owners.may_command(s.set_up, director, keep)
+            )
+        )
         stream.write(encode_notice(Hello(self.model.boot, self.model.counter, held)))
 
     def _notices_gone(self, director: str, stream: StreamOut) -> None:
         if director in self._streams and self._streams[director][1] is stream:
             del self._streams[director]
+            self.owners.streams.pop(director, None)
             self._stream_lost[director] = self.loop.time()
 
     def _tell(self, director: str, notice: BoxNotice) -> None:
@@ -361,14 +498,16 @@
     def _on_tick(self) -> None:
         now, model = self.loop.time(), self.model
         for set_up, session in list(model.sessions.items()):
-            orphan = now - self._stream_lost.get(session.director, now) > self.orphan_s
+            alone = now - self._stream_lost.get(session.director, now)
+            orphan = alone > (session.grace_s or self.orphan_s)
             if session.streams == 0 and now - session.last_seen > self.idle_s:
                 park = session.paid and not session.finished
                 self._end(session, "done" if session.finished else "parked" if park else "left")
                 if park:
                     model.parked[set_up] = (session, now + self.park_s)
             elif orphan:
-                del model.sessions[set_up]  # a session ends with its director
+                del model.sessions[set_up]  # nobody has come for it in all its grace
+                self.owners.over(set_up, unix_ms())
         if now - self._delivered_at >= 1.0:
             self._delivered_at = now
             self._tell_delivered()
@@ -379,6 +518,7 @@
                 self._say_late(director, LinkUse(set_up, round(use, 4)))
         for set_up in [s for s, (_, until) in model.parked.items() if until < now]:
             del model.parked[set_up]
+            self.owners.over(set_up, unix_ms())
         for set_up in [s for s, until in model.gone.items() if until < now]:
             del model.gone[set_up]
         self._tick = self.loop.call_later(TICK_S, self._on_tick)
@@ -388,6 +528,8 @@
         # it ended when it was last sent something, not when that was noticed
         idle_ms = int((self.loop.time() - session.last_seen) * 1000)
         ended_ms = max(unix_ms() - idle_ms, session.told_ms)  # two clocks: never before what was told
+        if how != "parked":
+            self.owners.over(session.set_up, unix_ms())
         self._tell(session.director, EndedThere(session.set_up, how, ended_ms))
 
     def _one_each(self) -> dict[str, str]:
--- a/foxlift/standins/model.py
+++ b/foxlift/standins/model.py
@@ -45,6 +45,11 @@
     finished: bool = False
     paid: bool = False
     max_kbps: int = 0
+    klass: str = ""
+    tenant: str = ""
+    claim: str = ""
+    note: str = ""
+    grace_s: float = 0.0  # how long it outlives its owner's stream; 0: as long as any
     paced_to: float = -1e9  # up to when, at its rate, it has been sent what was sent
 
     def wait(self, now: float, size: int, bytes_per_s: float, speed: float) -> float:
--- a/foxlift/store/intents.py
+++ b/foxlift/store/intents.py
@@ -8,14 +8,14 @@
 
 from __future__ import annotations
 
-import errno
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from enum import Enum
 
 import msgspec
 
-from foxlift.store.files import FilePort, SyncFile
+from foxlift.store.files import FilePort
+from foxlift.store.groups import GroupWriter
 from foxlift.store.log import LogError, LogReader, encode_frame, encode_header
 
 NAME = "intents.log"
@@ -80,13 +80,14 @@
         """
         self._files = files
         self.known = self._load(keep_from)
-        self.failed: OSError | None = None
         self._sequence = 0
-        self._gathering: list[_Record] = []
-        self._waiting: list[Callable[[OSError | None], None]] = []
-        self._writing = self._closed = False
         self._rewrite()
-        self._file: SyncFile = files.open_append(NAME)
+        self._writer = GroupWriter(files, NAME)
+
+    @property
+    def failed(self) -> OSError | None:
+        """What the disk failed with, for good."""
+        return self._writer.failed
 
     def _load(self, keep_from: float) -> dict[str, Known]:
         data = self._files.read(NAME)
@@ -127,49 +128,20 @@
 
     def intend(self, intent: Intent, done: Callable[[OSError | None], None]) -> None:
         """Record an intent; `done(None)` once it is durable. Never called from inside `intend`."""
-        self._gathering.append(
-            _Record(
-                "i", intent.token, intent.expires, intent.box, intent.set_up, n=intent.tenant, c=intent.klass
-            )
+        record = _Record(
+            "i", intent.token, intent.expires, intent.box, intent.set_up, n=intent.tenant, c=intent.klass
         )
-        self._waiting.append(done)
-        self._write()
+        self._writer.append(self._frame(record), done)
 
     def settle(self, token: str, verdict: Verdict) -> None:
         """Record what became of it, with the next group."""
-        self._gathering.append(_Record("o", token, v=verdict.value))
-        self._write()
-
-    def _write(self) -> None:
-        if self._writing or not self._gathering:
-            return
-        if self._closed or self.failed is not None:
-            # whatever the port would say now: what a failed sync left behind is not known
-            error = self.failed or OSError(errno.EBADF, "the record is closed")
-            waiting, self._waiting, self._gathering = self._waiting, [], []
-            for done in waiting:
-                done(error)
-            return
-        records, self._gathering = self._gathering, []
-        waiting, self._waiting = self._waiting, []
-        self._writing = True
-        self._file.write_sync(
-            b"".join(map(self._frame, records)), lambda error: self._written(error, waiting)
-        )
-
-    def _written(self, error: OSError | None, waiting: list[Callable[[OSError | None], None]]) -> None:
-        self._writing = False
-        self.failed = self.failed or error
-        for done in waiting:
-            done(error)
-        self._write()
+        self._writer.append(self._frame(_Record("o", token, v=verdict.value)))
 
     @property
     def flushed(self) -> bool:
         """Whether nothing waits to be written."""
-        return not self._writing and not self._gathering
+        return self._writer.flushed
 
     def close(self) -> None:
         """Let go of the file; what waits to be written fails: flush before."""
-        self._closed = True
-        self._file.close()
+        self._writer.close()
