--- a/foxlift/director/peering.py
+++ b/foxlift/director/peering.py
@@ -146,6 +146,7 @@
     _last: int = 0
     _renewed_at: float = -1e18
     _renewing: bool = False
+    _too_long: bool = False
     closed: bool = False
 
     def __post_init__(self) -> None:
@@ -427,6 +428,9 @@
         claim = rc.Claim(self.config.name, self.run, keep.box, keep.set_up, int(self.timeline.now()))
         self._claiming[number] = _Waiting(keep, then)
         self.counters.add("claims")
+        if token.expires - self.timeline.unix_s() > self.config.peers.longest_token_s and not self._too_long:
+            self._too_long = True  # said once: every token of that kind is refused
+            self.log.error("a token lives longer than longest-token-s: no register can hold it")
         self._want(number, token.id, claim, token.expires, self._proven.pop(token.id, None))
 
     def _want(self, number: int, token: str, claim: rc.Claim, expires: int, before: rc.Claim | None) -> None:
--- /dev/null
+++ b/tests/many.py
@@ -0,0 +1,230 @@
+"""Several directors as processes of the program, a relay between every two, and a fleet of boxes here."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import uvloop
+from joserfc.jwk import KeySet, OctKey
+from samples import SOURCE
+from sockets import CONFIG, KEY, Reply, ask, base_of
+
+from foxlift.rehearsal.processes import Child
+from foxlift.standins.fleet import BoxPlan, Fleet, FleetPlan
+from foxlift.standins.owners import Owned
+from foxlift.standins.tap import Recorder, Tap
+from foxlift.standins.ways import State, Terms
+from foxlift.tokens import Issuer, SessionToken
+
+
+@dataclass
+class Many:
+    """`links`: from one director to another's peers' listener; to a box by `d0`, `b1`."""
+
+    folder: Path
+    loop: asyncio.AbstractEventLoop
+    fleet: Fleet
+    issuer: Issuer
+    recorder: Recorder
+    edit: Callable[[str], str]
+    grace_ms: int
+    directors: dict[str, Child] = field(default_factory=dict)
+    fronts: dict[str, int] = field(default_factory=dict)
+    links: dict[tuple[str, str], Tap] = field(default_factory=dict)
+    taps: list[Tap] = field(default_factory=list)
+
+    def token(self, claim: str, klass: str = "graded", title: str = "t1", **more: Any) -> str:
+        made = SessionToken(claim, "viewer-" + claim, title, klass, "t", int(time.time()) + 3600)
+        for key, value in more.items():
+            object.__setattr__(made, key, value)
+        return self.issuer.issue(made)
+
+    async def manifest(self, name: str, token: str, target: str = "") -> Reply:
+        return await ask(self.fronts[name], target or f"/dash/t1/manifest.mpd?token={token}")
+
+    async def until(self, true: Callable[[], object], seconds: float = 20.0) -> None:
+        """Wait for something to become true."""
+        end = self.loop.time() + seconds
+        while not true():
+            assert self.loop.time() < end, "it did not become true"
+            await asyncio.sleep(0.01)
+
+    async def until_shown(self, name: str, token: str, seconds: float = 20.0) -> Reply:
+        """Ask as a viewer does who comes back when told to; the first answer that is none to come back."""
+        end = self.loop.time() + seconds
+        while True:
+            reply = await self.manifest(name, token)
+            if reply.status != 503:
+                return reply
+            assert self.loop.time() < end, "always told to come back"
+            await asyncio.sleep(float(reply.headers.get("foxlift-come-back-ms", "200")) / 1000)
+
+    def log(self, name: str) -> list[dict[str, Any]]:
+        text = (self.folder / f"{name}.log").read_text()
+        return [json.loads(line) for line in text.splitlines() if line.startswith("{")]
+
+    def said(self, name: str, event: str) -> list[dict[str, Any]]:
+        return [line for line in self.log(name) if line.get("event") == event]
+
+    async def know_each_other(self) -> None:
+        """Each director believes all others alive, and vouches for its registers."""
+        names = list(self.directors)
+
+        def all_known() -> bool:
+            return all(
+                self.said(name, "registers vouched for")
+                and {line["peer"] for line in self.said(name, "peer") if line["state"] == "alive"}
+                >= set(names) - {name}
+                for name in names
+            )
+
+        await self.until(all_known)
+
+    def set_ups(self, claim: str) -> int:
+        return sum(box.set_ups_by_claim.get(claim, 0) for box in self.fleet.boxes.values())
+
+    def owned(self) -> dict[str, Owned]:
+        """Whose each session at a box is, by its set-up."""
+        return {s: o for box in self.fleet.boxes.values() for s, o in box.owners.sessions.items()}
+
+    def sessions(self) -> list[str]:
+        return [set_up for box in self.fleet.boxes.values() for set_up in box.model.sessions]
+
+    def cut(self, a: str, b: str, both: bool = True) -> None:
+        """What a sends to b, or with `both` either to the other, is lost."""
+        lost = Terms(State.CUT)
+        self.links[a, b].change(lost, lost if both else None)
+        if both and (b, a) in self.links:
+            self.links[b, a].change(lost, lost)
+
+    def mend(self) -> None:
+        for tap in self.links.values():
+            tap.mend()
+
+    async def start(self, name: str) -> None:
+        ready = await self.directors[name].start()
+        self.fronts[name] = int(ready["port"])
+        for (_, to), tap in self.links.items():
+            if to == name:
+                tap.target = int(ready["peers"])
+
+    async def kill(self, *names: str) -> None:
+        """kill -9, and wait until they are gone."""
+        for name in names:
+            self.directors[name].kill()
+        for name in names:
+            process = self.directors[name].process
+            assert process is not None
+            await process.wait()
+
+
+def run(
+    folder: Path,
+    test: Callable[[Many], Awaitable[None]],
+    *,
+    directors: int = 3,
+    boxes: int = 4,
+    grace_ms: int = 20_000,
+    period_ms: int = 100,
+    edit: Callable[[str], str] = lambda text: text,
+    plan: dict[str, Any] | None = None,
+) -> None:
+    """Run a test in a world of its own."""
+
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        (folder / "keys.json").write_text(json.dumps({"keys": [KEY]}))
+        (folder / "t1.mpd").write_text(SOURCE)
+        (folder / "catalogue.sexp").write_text(
+            '(catalogue (version 1) (titles'
+            ' (title (name "t1") (first-cell 0) (holders 4) (manifest "t1.mpd"))'
+            ' (title (name "t2") (first-cell 0) (holders 1) (manifest "t1.mpd"))))'
+        )
+        recorder = Recorder(folder / "taps.bin", loop)
+        names = [f"d{k}" for k in range(directors)]
+        taps: list[Tap] = []
+        links: dict[tuple[str, str], Tap] = {}
+
+        async def link(a: str, b: str) -> int:
+            tap = links[a, b] = Tap(f"link:{a}:{b}", recorder, loop)
+            taps.append(tap)
+            return await tap.listen()
+
+        announced = [{d: await link(d, f"b{k}") for d in names} for k in range(boxes)]
+        made = FleetPlan(
+            boxes=tuple(
+                BoxPlan(f"b{k}", "east", "std", k % 4, f"r{k % 2}", 60, 70000.0, announce_to=announced[k])
+                for k in range(boxes)
+            ),
+            uplink_kb=120000.0,
+            cold_multiple=2.0,
+            cold_window_ms=1000.0,
+            warm_up_ms=2000.0,
+            set_up_ms=10.0,
+            notice_ms=20.0,
+            silent_notice_ms=100.0,
+            told_late_ms=100.0,
+            tell_every_ms=300.0,
+            segment_s=0.2,
+            idle_s=60.0,
+            **(plan or {}),
+        )
+        fleet = Fleet(made, loop)
+        await fleet.start()
+        for (_, to), tap in links.items():
+            if to in fleet.boxes:
+                tap.target = fleet.boxes[to].port
+        issuer = Issuer(KeySet([OctKey.import_key(KEY)]), "i", "foxlift")  # type: ignore[arg-type]
+        many = Many(folder, loop, fleet, issuer, recorder, edit, grace_ms, links=links, taps=taps)
+        ports = {(a, b): await link(a, b) for a in names for b in names if a != b}
+        for k, name in enumerate(names):
+            others = " ".join(
+                f'(peer (name "{other}") (url "http://127.0.0.1:{ports[name, other]}"))'
+                for other in names
+                if other != name
+            )
+            text = CONFIG.format(
+                name=name,
+                state=folder / f"state-{name}",
+                keys=folder / "keys.json",
+                folder=folder,
+                list_port=fleet.list_port,
+            ).rstrip()
+            text = text.replace("(number 0) (directors 1)", f"(number {k}) (directors {directors})")
+            text = text.replace("(lost-after-ms 400)", "(lost-after-ms 2000)")
+            text = text[:-1] + (
+                f"\n  (peers (period-ms {period_ms}) (grace-ms {grace_ms}) (others {others})) (seed {k}))\n"
+            )
+            (folder / f"{name}.sexp").write_text(edit(text))
+            many.directors[name] = Child(name, folder, "serve", "--log-format", "json", f"{name}.sexp")
+        try:
+            await asyncio.gather(*(many.start(name) for name in names))
+            await many.know_each_other()
+            await test(many)
+        finally:
+            for child in many.directors.values():
+                child.stop_running(False)
+                child.kill()
+            for child in many.directors.values():
+                if child.process is not None:
+                    await child.process.wait()
+            await fleet.stop()
+            for tap in taps:
+                tap.close()
+            await asyncio.sleep(0.02)
+            recorder.close()
+        for name in names:
+            for line in many.log(name):
+                assert line.get("event") != "exception" and "Traceback" not in str(line), line
+            assert "Traceback" not in (folder / f"{name}.log").read_text()
+
+    uvloop.run(main())
+
+
+__all__ = ["Many", "Reply", "ask", "base_of", "run"]
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -97,6 +97,7 @@
             elif isinstance(action, cl.Withdraw):
                 self.left[action.session] = self.open.pop(action.session)
             else:
+                assert not isinstance(action, cl.Adopted | cl.Superfluous)
                 assert action.request in self.waiting
                 assert action.request not in self.answered
                 self.answered.add(action.request)
--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -539,6 +539,10 @@
         "httptools",
         "foxlift.ledger",
         "foxlift.director.core",
+        "foxlift.peers",
+        "foxlift.accord",
+        "foxlift.recovery",
+        "foxlift.boxes",
     ):
         assert heavy not in loaded
 
