Hard cases of takeover as processes: deaths at each point, cuts, disks, stalls, floods

Need: the issue's cases, each with several processes of the program and faults between them.

Found by them and mended: a director that stood still heard that its sessions were taken and kept its run, so its next set-up was what told it that it was fenced; it renews its run at the notice now. A stand-in box counts the takes that it refuses.

Seen (loopback): 19 tests: killed between claim and set-up, set-up and answer; a late set-up after the takeover; SIGSTOP and waking; own next run; all killed at once; a taker killed ten times in a row; box and director in the same second; a box that cannot be asked; cuts from peers, halves; 500 viewers of one dead director at once; planned stop; lost and old disks; garbage.

--- a/foxlift/director/daemon.py
+++ b/foxlift/director/daemon.py
@@ -15,7 +15,15 @@
 import structlog
 
 from foxlift import interface as fl
-from foxlift.boxes import BadNotice, NoticeReader, SetUpOrder, box_outcome, read_load, read_set_up
+from foxlift.boxes import (
+    BadNotice,
+    NoticeReader,
+    SetUpOrder,
+    TakenThere,
+    box_outcome,
+    read_load,
+    read_set_up,
+)
 from foxlift.boxes.orca import HEADER as LOAD_HEADER
 from foxlift.boxes.resource import RungOrder
 from foxlift.catalogue import Catalogue, load_catalogue
@@ -548,6 +556,8 @@
                 return
             for notice in notices:
                 self.feed(ev.Notice(node, notice))
+                if self.peers is not None and isinstance(notice, TakenThere):
+                    self.peers.peering.renew()
 
         def result(found: Answer | Failure) -> None:
             if self.peers is not None:
--- a/foxlift/standins/box.py
+++ b/foxlift/standins/box.py
@@ -73,6 +73,7 @@
         self.answer_slowly = False
         self.report_delay_s = 0.0
         self.set_ups = 0
+        self.takes_refused = 0  # since their owner was still heard from
         self.set_ups_by_claim: dict[str, int] = {}
         self._server: Server | None = None
         self._streams: dict[str, tuple[str, StreamOut]] = {}  # by director: its run and stream
@@ -327,6 +328,7 @@
         if order.of != order.by and (heard := owners.streams.get(order.of, 0)):
             later = 0 < order.upto < heard
             if later or not order.certain:
+                self.takes_refused += 1
                 self._refuse(exchange, "alive", 409)
                 return
         most = MOST_TAKEN
--- a/tests/many.py
+++ b/tests/many.py
@@ -23,6 +23,14 @@
 from foxlift.tokens import Issuer, SessionToken
 
 
+WIDE = (
+    ("(lost-after-ms 400)", "(lost-after-ms 2000)"),
+    ("(link-kb-per-weight 7000)", "(link-kb-per-weight 700000)"),
+    ("(uplink-kb 12000)", "(uplink-kb 1200000)"),
+    ("(kind-slots 30)", "(kind-slots 200)"),
+)
+
+
 @dataclass
 class Many:
     """`links`: from one director to another's peers' listener; to a box by `d0`, `b1`."""
@@ -132,6 +140,7 @@
     boxes: int = 4,
     grace_ms: int = 20_000,
     period_ms: int = 100,
+    clocks_apart_ms: int = 10_000,
     edit: Callable[[str], str] = lambda text: text,
     plan: dict[str, Any] | None = None,
 ) -> None:
@@ -142,7 +151,7 @@
         (folder / "keys.json").write_text(json.dumps({"keys": [KEY]}))
         (folder / "t1.mpd").write_text(SOURCE)
         (folder / "catalogue.sexp").write_text(
-            '(catalogue (version 1) (titles'
+            "(catalogue (version 1) (titles"
             ' (title (name "t1") (first-cell 0) (holders 4) (manifest "t1.mpd"))'
             ' (title (name "t2") (first-cell 0) (holders 1) (manifest "t1.mpd"))))'
         )
@@ -159,10 +168,10 @@
         announced = [{d: await link(d, f"b{k}") for d in names} for k in range(boxes)]
         made = FleetPlan(
             boxes=tuple(
-                BoxPlan(f"b{k}", "east", "std", k % 4, f"r{k % 2}", 60, 70000.0, announce_to=announced[k])
+                BoxPlan(f"b{k}", "east", "std", k % 4, f"r{k % 2}", 200, 700000.0, announce_to=announced[k])
                 for k in range(boxes)
             ),
-            uplink_kb=120000.0,
+            uplink_kb=1200000.0,
             cold_multiple=2.0,
             cold_window_ms=1000.0,
             warm_up_ms=2000.0,
@@ -197,9 +206,12 @@
                 list_port=fleet.list_port,
             ).rstrip()
             text = text.replace("(number 0) (directors 1)", f"(number {k}) (directors {directors})")
-            text = text.replace("(lost-after-ms 400)", "(lost-after-ms 2000)")
+            for old, new in WIDE:
+                assert old in text, old
+                text = text.replace(old, new)
             text = text[:-1] + (
-                f"\n  (peers (period-ms {period_ms}) (grace-ms {grace_ms}) (others {others})) (seed {k}))\n"
+                f"\n  (peers (period-ms {period_ms}) (grace-ms {grace_ms})"
+                f" (clocks-apart-ms {clocks_apart_ms}) (others {others})) (seed {k}))\n"
             )
             (folder / f"{name}.sexp").write_text(edit(text))
             many.directors[name] = Child(name, folder, "serve", "--log-format", "json", f"{name}.sexp")
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -3,10 +3,32 @@
 from __future__ import annotations
 
 import asyncio
+import shutil
 from pathlib import Path
+from typing import Any
 
 from many import Many, ask, base_of, run
 
+from foxlift.standins.tap import Tap
+from foxlift.standins.ways import State, Terms
+
+LOST, HELD = Terms(State.CUT), Terms(State.HELD)
+
+
+def box_links(many: Many, name: str) -> list[Tap]:
+    return [tap for (a, b), tap in many.links.items() if a == name and b.startswith("b")]
+
+
+def kept(many: Many, name: str) -> bytes:
+    """What a director has sent to boxes and relays hold back."""
+    sides = [side for tap in box_links(many, name) for side in tap._sides if side.kind == "up"]
+    return b"".join(data for side in sides for _, data in side.way._line)
+
+
+def vouched(many: Many, name: str) -> dict[str, Any]:
+    found = many.said(name, "registers vouched for")
+    return found[-1] if found else {}
+
 
 def test_a_reload_at_another_director_shows_the_same_session_one_hop_away(tmp_path: Path) -> None:
     async def test(many: Many) -> None:
@@ -51,3 +73,332 @@
             assert many.set_ups(f"a{k}") == 1
 
     run(tmp_path, test)
+
+
+def test_killed_between_claim_and_set_up_the_token_is_set_up_once_elsewhere(tmp_path: Path) -> None:
+    async def test(many: Many) -> None:
+        for tap in box_links(many, "d0"):
+            tap.change(HELD, None)  # the set-up leaves, and never arrives
+        token = many.token("a")
+        asked = asyncio.ensure_future(many.manifest("d0", token))
+        await many.until(lambda: b"PUT /sessions/d0." in kept(many, "d0"))
+        await many.kill("d0")
+        await asyncio.gather(asked, return_exceptions=True)
+        assert many.set_ups("a") == 0
+        reply = await many.until_shown("d1", token)
+        assert reply.status == 200
+        assert many.set_ups("a") == 1
+
+    run(tmp_path, test, clocks_apart_ms=0)
+
+
+def test_killed_between_set_up_and_answer_the_session_is_found_at_its_box(tmp_path: Path) -> None:
+    async def test(many: Many) -> None:
+        for tap in box_links(many, "d0"):
+            tap.change(None, LOST)
+        token = many.token("a")
+        asked = asyncio.ensure_future(many.manifest("d0", token))
+        await many.until(lambda: many.sessions())
+        await many.kill("d0")
+        await asyncio.gather(asked, return_exceptions=True)
+        reply = await many.until_shown("d1", token)
+        assert reply.status == 200
+        assert many.sessions()[0] in base_of(reply)[1]
+        assert many.set_ups("a") == 1
+
+    run(tmp_path, test)
+
+
+def test_a_set_up_that_comes_after_the_takeover_never_runs(tmp_path: Path) -> None:
+    async def test(many: Many) -> None:
+        for tap in box_links(many, "d0"):
+            tap.change(HELD, None)
+        token = many.token("a")
+        asked = asyncio.ensure_future(many.manifest("d0", token))
+        await many.until(lambda: b"PUT /sessions/d0." in kept(many, "d0"))
+        many.directors["d0"].stop_running(True)
+        await many.until(lambda: many.said("d1", "peer")[-1]["state"] == "dead")
+        reply = await many.until_shown("d1", token)
+        assert reply.status == 200
+        assert many.set_ups("a") == 1
+        for tap in box_links(many, "d0"):
+            tap.mend()  # the dead one's set-up arrives now
+        assert not kept(many, "d0")
+        many.directors["d0"].stop_running(False)
+        late = await asked
+        assert late.status in (200, 502, 503, 504)
+        again = await many.until_shown("d0", token)
+        assert again.status == 200 and base_of(again)[1] == base_of(reply)[1]
+        assert many.set_ups("a") == 1 and len(many.sessions()) == 1
+
+    run(tmp_path, test, clocks_apart_ms=0)
+
+
+def test_one_that_stood_still_finds_itself_fenced_and_goes_on_with_new_work(tmp_path: Path) -> None:
+    async def test(many: Many) -> None:
+        tokens = [many.token(f"a{k}") for k in range(6)]
+        shown = [await many.manifest("d0", token) for token in tokens]
+        many.directors["d0"].stop_running(True)
+        await many.until(lambda: {o.name for o in many.owned().values()} <= {"d1", "d2"})
+        owned = many.owned()
+        many.directors["d0"].stop_running(False)
+        await many.until(lambda: many.said("d0", "another director has taken work over: a new run begins"))
+        for token, first in zip(tokens, shown, strict=True):
+            again = await many.until_shown("d0", token)
+            assert again.status == 200
+            assert base_of(again)[1] == base_of(first)[1]
+        # nothing of its own got through: who owns them owns them still, nothing was released or set up again
+        assert many.owned() == owned and len(many.sessions()) == 6
+        assert all(many.set_ups(f"a{k}") == 1 for k in range(6))
+        new = many.token("new")
+        assert (await many.until_shown("d0", new)).status == 200
+        assert "d0" in {o.name for o in many.owned().values()}
+        # and its own new work is taken over in its turn, by the run that it has now
+        await many.kill("d0")
+        await many.until(lambda: {o.name for o in many.owned().values()} <= {"d1", "d2"})
+        assert (await many.until_shown("d1", new)).status == 200
+        assert many.set_ups("new") == 1
+
+    run(tmp_path, test)
+
+
+def test_its_own_next_run_keeps_what_nobody_has_taken(tmp_path: Path) -> None:
+    async def test(many: Many) -> None:
+        tokens = [many.token(f"a{k}", "graded" if k % 2 else "briefing") for k in range(6)]
+        shown = [await many.manifest("d0", token) for token in tokens]
+        await many.kill("d0")
+        await many.start("d0")  # before the others believe it dead
+        await many.until(lambda: all(o.name == "d0" and o.term == 2 for o in many.owned().values()))
+        for k, (token, first) in enumerate(zip(tokens, shown, strict=True)):
+            again = await many.until_shown("d0", token)
+            assert again.status == 200
+            assert base_of(again)[1].split("/")[2] == base_of(first)[1].split("/")[2]
+            assert many.set_ups(f"a{k}") == 1
+        assert len(many.sessions()) == 6
+
+    run(tmp_path, test)
+
+
+def test_all_killed_at_once_find_their_sessions_at_the_boxes_in_any_order(tmp_path: Path) -> None:
+    async def test(many: Many) -> None:
+        tokens = [(name, many.token(f"{name}-{k}")) for name in many.fronts for k in range(4)]
+        shown = {token: await many.manifest(name, token) for name, token in tokens}
+        await many.kill(*many.directors)
+        assert len(many.sessions()) == 12
+        for name in ("d2", "d0", "d1"):
+            await many.start(name)
+        for name, token in tokens:
+            again = await many.until_shown(name, token)
+            assert again.status == 200
+            assert base_of(again)[1] == base_of(shown[token])[1]
+        assert len(many.sessions()) == 12 and sum(many.set_ups(f"d{k}-0") for k in range(3)) == 3
+
+    run(tmp_path, test)
+
+
+def test_a_taker_killed_too_ten_times_in_a_row(tmp_path: Path) -> None:
+    async def test(many: Many) -> None:
+        token = many.token("a")
+        first = await many.manifest("d0", token)
+        (set_up,) = many.sessions()
+        for turn in range(10):
+            owner = many.owned()[set_up].name
+            await many.kill(owner)
+            await many.until(lambda owner=owner: many.owned()[set_up].name != owner)  # type: ignore[misc]
+            assert many.owned()[set_up].term == turn + 2
+            await many.start(owner)
+        again = await many.until_shown("d1", token)
+        assert again.status == 200 and base_of(again)[1] == base_of(first)[1]
+        assert many.set_ups("a") == 1
+
+    run(tmp_path, test)
+
+
+def test_box_and_director_dead_in_the_same_second_a_paid_session_is_never_set_up_again(
+    tmp_path: Path,
+) -> None:
+    async def test(many: Many) -> None:
+        token = many.token("a")
+        await many.manifest("d0", token)
+        (name,) = {n for n, box in many.fleet.boxes.items() if box.model.sessions}
+        many.fleet.command("die", name)
+        await many.kill("d0")
+        reply = await many.until_shown("d1", token)
+        assert reply.status == 502
+        many.fleet.command("return", name)  # another process of it: it does not know what the first one ran
+        await many.until(lambda: many.fleet.boxes[name].up)
+        reply = await many.until_shown("d2", token)
+        assert reply.status == 502
+        assert many.set_ups("a") == 1
+
+    run(tmp_path, test)
+
+
+def test_a_box_that_cannot_be_asked_settles_nothing(tmp_path: Path) -> None:
+    async def test(many: Many) -> None:
+        token = many.token("a")
+        await many.manifest("d0", token)
+        (name,) = {n for n, box in many.fleet.boxes.items() if box.model.sessions}
+        many.fleet.command("hang", name, True)
+        await many.kill("d0")
+        await many.until(lambda: many.said("d1", "peer")[-1]["state"] == "dead")
+        for _ in range(3):
+            assert (await many.manifest("d1", token)).status == 503
+        assert many.set_ups("a") == 1
+        many.fleet.command("hang", name, False)
+        assert (await many.until_shown("d1", token)).status == 200
+        assert many.set_ups("a") == 1
+
+    run(tmp_path, test)
+
+
+def test_cut_from_its_peers_and_not_from_boxes_it_keeps_its_sessions_until_a_majority_is_sure(
+    tmp_path: Path,
+) -> None:
+    async def test(many: Many) -> None:
+        token = many.token("a")
+        first = await many.manifest("d0", token)
+        for other in ("d1", "d2"):
+            many.cut("d0", other)
+        await many.until(lambda: many.said("d1", "peer")[-1]["state"] == "dead")
+        # the minority takes nothing: its own is taken by those who are sure, once, and does not come back
+        await many.until(lambda: {o.name for o in many.owned().values()} <= {"d1", "d2"})
+        assert [o.term for o in many.owned().values()] == [2]
+        mine = many.token("b")
+        refused = await many.manifest("d0", mine)
+        assert refused.status == 503  # no two holders: a refusal, never a second set-up
+        assert (await many.manifest("d0", many.token("c", "briefing"))).status == 200  # free goes on
+        many.mend()
+        again = await many.until_shown("d0", token)
+        assert again.status == 200 and base_of(again)[1] == base_of(first)[1]
+        assert [o.term for s, o in many.owned().items() if s in base_of(first)[1]] == [2]
+        assert many.set_ups("a") == 1 and many.set_ups("b") == 0
+
+    run(tmp_path, test)
+
+
+def test_two_halves_take_nothing_from_each_other(tmp_path: Path) -> None:
+    async def test(many: Many) -> None:
+        shown = {}
+        for name in many.fronts:
+            token = many.token(name)
+            shown[token] = await many.manifest(name, token)
+        for a in ("d0", "d1"):
+            for b in ("d2", "d3"):
+                many.cut(a, b)
+        await many.until(
+            lambda: all(
+                {line["peer"] for line in many.said(name, "peer") if line["state"] == "dead"}
+                >= ({"d2", "d3"} if name in ("d0", "d1") else {"d0", "d1"})
+                for name in many.fronts
+            )
+        )
+        # both believe the other half dead; the boxes hear from all of them, and nobody has a majority
+        await many.until(lambda: sum(box.takes_refused for box in many.fleet.boxes.values()) >= 8)
+        assert all(set_up.startswith(o.name + ".") for set_up, o in many.owned().items())
+        many.mend()
+        for token in shown:
+            again = await many.until_shown("d0", token)
+            assert again.status == 200 and base_of(again)[1] == base_of(shown[token])[1]
+        assert all(set_up.startswith(o.name + ".") for set_up, o in many.owned().items())
+        assert len(many.sessions()) == 4
+
+    run(tmp_path, test, directors=4)
+
+
+def test_five_hundred_viewers_of_a_dead_director_reload_within_100_ms(tmp_path: Path) -> None:
+    async def test(many: Many) -> None:
+        tokens = [many.token(f"a{k}") for k in range(500)]
+        shown = []
+        for k in range(0, 500, 25):
+            shown += await asyncio.gather(*(many.manifest("d0", token) for token in tokens[k : k + 25]))
+        assert {reply.status for reply in shown} == {200}, {r.body for r in shown if r.status != 200}
+        await many.kill("d0")
+        replies = await asyncio.gather(
+            *(many.until_shown(f"d{1 + k % 2}", token, 30.0) for k, token in enumerate(tokens))
+        )
+        assert {reply.status for reply in replies} == {200}, {r.body for r in replies if r.status != 200}
+        for reply, first in zip(replies, shown, strict=True):
+            assert base_of(reply)[1] == base_of(first)[1]
+        assert all(many.set_ups(f"a{k}") == 1 for k in range(500))
+
+    run(tmp_path, test)
+
+
+def test_a_planned_stop_hands_over_before_it_ends(tmp_path: Path) -> None:
+    async def test(many: Many) -> None:
+        tokens = [many.token(f"a{k}", "graded" if k % 2 else "briefing") for k in range(6)]
+        shown = [await many.manifest("d0", token) for token in tokens]
+        assert await many.directors["d0"].end() == 0
+        assert {o.name for o in many.owned().values()} <= {"d1", "d2"}
+        assert len(many.sessions()) == 6
+        for token, first in list(zip(tokens, shown, strict=True))[1::2]:
+            again = await many.until_shown("d1", token)
+            assert again.status == 200 and base_of(again)[1] == base_of(first)[1]
+
+    run(tmp_path, test)
+
+
+def test_a_lost_disk_is_found_out_and_no_token_is_doubled(tmp_path: Path) -> None:
+    async def test(many: Many) -> None:
+        token = many.token("a")
+        first = await many.manifest("d0", token)
+        await many.kill("d1", "d2")
+        for name in ("d1", "d2"):
+            shutil.rmtree(tmp_path / f"state-{name}")
+        await asyncio.gather(many.start("d1"), many.start("d2"))
+        again_up = ("d1", "d2")
+        await many.until(lambda: all(len(many.said(n, "registers vouched for")) == 2 for n in again_up))
+        assert all(vouched(many, name)["lost"] for name in ("d1", "d2"))
+        # two of three copies are lost: refused, never doubled; the owner itself knows its own
+        assert (await many.manifest("d1", token)).status == 503
+        assert (await many.manifest("d0", token)).status == 200
+        await many.kill("d0")
+        await many.until(lambda: {o.name for o in many.owned().values()} <= {"d1", "d2"})
+        (owner,) = {o.name for o in many.owned().values()}
+        again = await many.until_shown(owner, token)
+        assert again.status == 200 and base_of(again)[1] == base_of(first)[1]
+        assert many.set_ups("a") == 1
+
+    run(tmp_path, test)
+
+
+def test_a_disk_from_yesterday_is_found_out(tmp_path: Path) -> None:
+    async def test(many: Many) -> None:
+        await many.kill("d1")
+        shutil.copytree(tmp_path / "state-d1", tmp_path / "yesterday")
+        await many.start("d1")
+        await many.until(lambda: len(many.said("d1", "registers vouched for")) == 2)
+        assert not vouched(many, "d1")["lost"]
+        await many.kill("d1")
+        shutil.rmtree(tmp_path / "state-d1")
+        shutil.copytree(tmp_path / "yesterday", tmp_path / "state-d1")
+        await many.start("d1")
+        await many.until(lambda: len(many.said("d1", "registers vouched for")) == 3)
+        assert vouched(many, "d1")["lost"]
+
+    run(tmp_path, test)
+
+
+def test_a_peer_that_sends_garbage_harms_nobody(tmp_path: Path) -> None:
+    async def test(many: Many) -> None:
+        port = many.links["d1", "d0"].target
+        bodies = (b"{", b"\xff" * 5000, b"[]", b'{"type":"ping","sender":"d1","run":-1}', b"[" * 9000)
+        for path in ("/peers/view", "/peers/hello", "/peers/registers"):
+            for body in bodies:
+                assert (await ask(port, path, "POST", body=body)).status == 400
+        stranger = b'{"type":"ping","sender":"x9","run":1}'
+        assert (await ask(port, "/peers/view", "POST", body=stranger)).status == 403
+        old = b'{"type":"ping","sender":"d1","run":1}'
+        assert (await ask(port, "/peers/view", "POST", body=old)).status == 409
+        large = b"POST /peers/view HTTP/1.1\r\nhost: x\r\ncontent-length: 60000000\r\n\r\n"
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(large)
+        assert b" 413 " in await reader.read(200)
+        writer.close()
+        token = many.token("a")
+        assert (await ask(port, f"/dash/t1/manifest.mpd?token={token}")).status == 403
+        assert (await many.manifest("d0", token)).status == 200
+        assert not [line for line in many.said("d1", "peer") if line["state"] == "dead"]
+
+    run(tmp_path, test)
