--- a/foxlift/cli/main.py
+++ b/foxlift/cli/main.py
@@ -79,7 +79,8 @@
 @click.argument("settings", type=click.Path(path_type=Path))
 @_log_format
 @_log_level
-def serve(settings: Path, log_format: str, log_level: str) -> None:
+@click.option("--clock-ahead-s", type=float, default=0.0, hidden=True, help="For rehearsals: a wrong clock.")
+def serve(settings: Path, log_format: str, log_level: str, clock_ahead_s: float) -> None:
     """Run a director until SIGTERM or SIGINT.
 
     Says one line of JSON with its port on standard output when it listens; logs go to standard error. On
@@ -98,7 +99,7 @@
 
     async def work() -> None:
         loop = asyncio.get_running_loop()
-        daemon = Daemon(config, loop)
+        daemon = Daemon(config, loop, unix_s=time.time() + clock_ahead_s)
         port = await daemon.start()
         ready: dict[str, object] = {"port": port, "url": daemon.url}
         if daemon.peers is not None:
@@ -213,7 +214,7 @@
 ) -> None:
     """Run a scripted day on stand-ins and judge the six rules from the sockets' traffic.
 
-    SCENARIO is the name of a built-in day (bad-day, billing-day, short-day) or a scenario file. With
+    SCENARIO is the name of a built-in day (bad-day, billing-day, short-day, takeover, short-takeover) or a scenario file. With
     --faults the day has faults drawn from the seed between directors, boxes and list; where a rule breaks,
     --shrink looks for the least of them that break it and prints the command that plays those again.
 
--- a/foxlift/decide/claims.py
+++ b/foxlift/decide/claims.py
@@ -31,7 +31,8 @@
     any        Adopt                      PLAYING,   a session that ran elsewhere is this director's from
                                           PARKED     now on; whoever waits is shown it
     PLAYING    Adopt of another set-up    PLAYING    superfluous: one of the two is enough
-    SPENT      Requested, recalled        SPENT      asked about elsewhere: its box may still play it
+    SPENT      Requested, recalled or
+               never seen to play         SPENT      asked about elsewhere: its box may still play it
 
 A token that has expired opens no session, but its holder may reload the one that it opened, and take it up
 again after a pause. What is spent is kept until the token's own expiry: after that it could open nothing
@@ -252,7 +253,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AskAbout:
-    """The record of an earlier run has this token: its box knows whether it still plays."""
+    """Whether it still plays, and where, is not known here: its register and its box know."""
 
     request: int
 
@@ -377,7 +378,7 @@
                 return [TurnDown(event.request, Why.FAILED if claim.paid else Why.BUSY)]
             case _State.PARKED:
                 return self._take_up(now, claim, event.request)
-            case _State.SPENT if claim.recalled and self._fleet:
+            case _State.SPENT if self._fleet and (claim.recalled or not claim.played):
                 return [AskAbout(event.request)]
             case _State.SPENT:
                 return [TurnDown(event.request, Why.PLAYED if claim.played else Why.FAILED)]
--- a/foxlift/director/answers.py
+++ b/foxlift/director/answers.py
@@ -50,6 +50,7 @@
     wish: Wish
     expired: bool = False
     passed: bool = False  # by another director
+    routed: int = 0  # how often it was looked for elsewhere
 
 
 class Answers:
--- a/foxlift/director/peerhost.py
+++ b/foxlift/director/peerhost.py
@@ -11,12 +11,15 @@
 from foxlift.boxes.takeover import HeldThere, Note, TakeAnswer, TakeOrder, owner_header, read_note, write_note
 from foxlift.decide.claims import Why
 from foxlift.director import events as ev
+from foxlift.director.answers import Held
 from foxlift.director.peering import JSON, RELAYED, TAKE_MS, WAITED, Peering
 from foxlift.http import Answer, Exchange, Failure, Headers
 from foxlift.ledger import Ended
 from foxlift.recovery.claims import Claim
 from foxlift.tokens import SessionToken
 
+MOST_ROUTED = 4  # times that one request is looked for elsewhere
+
 if TYPE_CHECKING:
     from foxlift.director.daemon import Daemon
 
@@ -93,10 +96,21 @@
 
     def route(self, number: int, claim: Claim | None) -> None:
         """A request whose token is claimed elsewhere."""
-        held = self.daemon.answers.held.get(number)
+        held = self._routed(number)
         if held is not None:
             self.peering.route(number, claim, passed=held.passed)
 
+    def _routed(self, number: int) -> Held | None:
+        """A request that is to be looked for elsewhere once more; not for ever."""
+        held = self.daemon.answers.held.get(number)
+        if held is None:
+            return None
+        held.routed += 1
+        if held.routed > MOST_ROUTED:
+            self.down(number, Why.FAILED, 0.0)
+            return None
+        return held
+
     def come_back_ms(self) -> float:
         """When a viewer is to come back whom nobody can answer now; told apart."""
         return self.peering.routes.come_back_ms()
@@ -117,12 +131,15 @@
         """A request whose token an earlier run had: its box knows more than the record."""
         known = self.daemon.book.known.get(token)
         parts = known.set_up.split("-")[0].rpartition(".")[2] if known is not None else ""
-        held = self.daemon.answers.held.get(number)
+        held = self._routed(number)
         if held is None:
             return
-        if known is None:
+        if self.daemon.core.claims.is_new(token):
             self.daemon.ask_core(number)
             return
+        if known is None:
+            self.peering.ask_register(number, token, held.wish.token.expires, held.passed)
+            return
         run = int(parts, 16) if parts and all(c in "0123456789abcdef" for c in parts) else 0
         claim = Claim(self.daemon.config.name, run, known.box, known.set_up)
         self.peering.route(number, claim, passed=held.passed)
--- a/foxlift/director/peering.py
+++ b/foxlift/director/peering.py
@@ -55,6 +55,7 @@
 RENEW_EVERY_MS = 1000.0
 MOST_PROVEN = 10_000
 MOST_RECLAIMS, RECLAIM_TRIES = 16, 3
+MOST_MINE = 100_000
 _HINT = re.compile(r"^([A-Za-z0-9._-]{1,100})/(\d{1,16})/([A-Za-z0-9._-]{1,100})/([A-Za-z0-9._~-]{1,200})$")
 
 Name = Annotated[str, Meta(min_length=1, max_length=100)]
@@ -112,6 +113,7 @@
     """A paid set-up whose claim is being made."""
 
     keep: ev.KeepIntent
+    claim: rc.Claim
     then: Callable[[], None]
 
 
@@ -140,7 +142,9 @@
     _claiming: dict[int, _Waiting] = field(default_factory=dict)
     _exchanges: dict[int, Exchange] = field(default_factory=dict)  # asks of peers that wait for an answer
     _pools: dict[tuple[str, bool], Pool] = field(default_factory=dict)
+    _mine: dict[str, rc.Claim] = field(default_factory=dict)  # by token, the oldest first
     _reclaims: deque[tuple[str, rc.Claim, int]] = field(default_factory=deque)
+    _endings: dict[int, Callable[[bool], None]] = field(default_factory=dict)
     _rereads: dict[int, Callable[[rc.Claim | None], None]] = field(default_factory=dict)
     _boxes: frozenset[str] = frozenset()
     _last: int = 0
@@ -159,7 +163,7 @@
         self.standing = st.Standing(self._urls, self.book.last_run, config.seed, peers.trust_disk)
         registers = Registers(f"{config.name}.{self.book.run}", config.seed)
         self.claims = rc.PaidClaims(config.name, self.book.run, registers)
-        self.takeovers = tk.Takeovers(config.name, self.names, config.seed)
+        self.takeovers = tk.Takeovers(config.name, self.names, config.seed, peers.period_ms)
         self.routes = rt.Routes(
             config.name,
             config.seed,
@@ -254,6 +258,7 @@
         message = read_ask(exchange.request.body)
         if not self._known(exchange, message.sender, message.run):
             return
+        self._heard(message.sender)
         number = self._number()
         self._exchanges[number] = exchange
         exchange.on_gone = lambda: self._exchange_gone(number)
@@ -396,12 +401,15 @@
                 case pv.Changed(name, state, run, _):
                     self.log.info("peer", peer=name, state=state.name.lower(), run=run)
                     there = tuple(self.view.there())
-                    seen = tk.Seen(name, state, run, there, self.view.majority)
+                    seen = tk.Seen(name, state, run, there)
                     self._take(self.takeovers.handle(self.timeline.now(), seen))
                 case pv.Superseded(run):
                     self.log.error("another process has this director's name", run=run)
                     self.host.superseded()
 
+    def _heard(self, name: str) -> None:
+        self._take(self.takeovers.handle(self.timeline.now(), tk.Heard(name)))
+
     def _view(self, event: pv.Event) -> None:
         if not self.closed:
             self._see(self.view.handle(self.timeline.now(), event))
@@ -411,7 +419,10 @@
             event: pv.Event = pv.Unanswered(send.ask)
             if isinstance(found, Answer) and found.status == 200:
                 try:
-                    event = pv.Answered(send.ask, read_answer(found.body))
+                    answer = read_answer(found.body)
+                    event = pv.Answered(send.ask, answer)
+                    if answer.sender == send.to:
+                        self._heard(send.to)
                 except msgspec.MsgspecError:
                     self.counters.add("peers not readable")
             self._view(event)
@@ -426,7 +437,7 @@
         """Claim the token of a paid set-up; `then` once it holds. Else the core is told whose it is."""
         number, token = self._number(), keep.token
         claim = rc.Claim(self.config.name, self.run, keep.box, keep.set_up, int(self.timeline.now()))
-        self._claiming[number] = _Waiting(keep, then)
+        self._claiming[number] = _Waiting(keep, claim, then)
         self.counters.add("claims")
         if token.expires - self.timeline.unix_s() > self.config.peers.longest_token_s and not self._too_long:
             self._too_long = True  # said once: every token of that kind is refused
@@ -446,6 +457,31 @@
         )
         self._claims(self.claims.handle(self.timeline.now(), want))
 
+    def _remember(self, waiting: _Waiting) -> None:
+        token = waiting.keep.token.id
+        self._mine.pop(token, None)
+        self._mine[token] = waiting.claim
+        while len(self._mine) > MOST_MINE:
+            del self._mine[next(iter(self._mine))]
+
+    def ask_register(self, number: int, token: str, expires: int, passed: bool) -> None:
+        """A request whose token's set-up here may have run: is it still this director's to say so?"""
+        mine = self._mine.get(token)
+        if mine is None:
+            self.host.down(number, Why.FAILED, 0.0)
+            return
+        asking = self._number()
+
+        def held(found: rc.Claim | None) -> None:
+            self.route(number, found, passed=passed)
+
+        def ended(claimed: bool) -> None:
+            verdict = rt.Verdict.FAILED if claimed else rt.Verdict.COME_BACK
+            self._tell(rt.Tell(number, verdict, self.routes.come_back_ms()))
+
+        self._rereads[asking], self._endings[asking] = held, ended
+        self._want(asking, token, mine, expires, None)
+
     def reclaim(self, token: str, set_up: str, box: str, expires: int) -> None:
         """A session was taken over: its register names this director from now on.
 
@@ -478,24 +514,31 @@
                 case rc.Held(number):
                     waiting = self._claiming.pop(number, None)
                     if waiting is not None:
+                        self._remember(waiting)
                         waiting.then()
-                    self._rereads.pop(number, None)
-                    self._next_reclaim()
+                    self._ended(number, True)
                 case rc.Elsewhere(number, claim):
                     reread = self._rereads.pop(number, None)
                     if reread is not None:
                         reread(claim)
                     self._not_claimed(number, claim, True)
+                    self._endings.pop(number, None)
                     self._next_reclaim()
                 case rc.Unclaimed(number):
-                    self._rereads.pop(number, None)
                     self._not_claimed(number, None, False)
-                    self._next_reclaim()
+                    self._ended(number, False)
                 case rg.Send():
                     self._ask_holder(action)
                 case rg.StartTimer(delay_ms, event):
                     self._later(delay_ms, lambda e=event: self._of_register(e))  # type: ignore[misc]
 
+    def _ended(self, number: int, claimed: bool) -> None:
+        self._rereads.pop(number, None)
+        ending = self._endings.pop(number, None)
+        if ending is not None:
+            ending(claimed)
+        self._next_reclaim()
+
     def _not_claimed(self, number: int, claim: rc.Claim | None, reached: bool) -> None:
         waiting = self._claiming.pop(number, None)
         if waiting is not None:
--- a/foxlift/recovery/takeover.py
+++ b/foxlift/recovery/takeover.py
@@ -14,9 +14,10 @@
     any             the box left the list               (none)
 
 A view is a hint and never a proof: it says when to ask. The box is asked to compare and set, and refuses
-where it still hears from the old owner, unless the asker is `certain`: the old owner has left in order, or a
-majority has believed it dead for CERTAIN_MS. So two halves of a cut fleet that both reach the boxes take
-nothing from each other, and a director that stands still loses its work only to a majority.
+where it still hears from the old owner, unless the asker is `certain`: the old owner has left in order, or
+more than half of the fleet has spoken to the asker since it believed the other dead, and some probes have
+passed since. So two halves of a cut fleet that both reach the boxes take nothing from each other, and a
+director that stands still loses its work only to a majority.
 
 A director's own earlier run is taken over in the same way, at each box, before anything else of it is done.
 One that was never heard of since this director's start counts as gone after UNKNOWN_MS: a fleet that was
@@ -38,7 +39,8 @@
 NEXT_MS = 30.0  # between parts of one box's work, and half of it more by chance
 AGAIN_MS = 250.0  # after a take that had no answer or was refused; doubles
 AGAIN_MOST_MS = 4000.0
-CERTAIN_MS = 3000.0  # believed dead for so long, by a majority
+CERTAIN_MS = 3000.0  # after a majority spoke that still counts as there, and at least
+CERTAIN_PERIODS = 8  # so many probes: a cut that has healed shows before anybody is sure
 UNKNOWN_MS = 20_000.0
 
 
@@ -66,13 +68,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Seen:
-    """What is believed of a peer now; of all that are there, itself first; whether they are a majority."""
+    """What is believed of a peer now; of all that are there, itself first."""
 
     peer: str
     state: State
     run: int
     there: tuple[str, ...]
-    majority: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """A peer has spoken to this director itself."""
+
+    peer: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,7 +119,7 @@
     """Whoever was not heard of until now counts as gone."""
 
 
-Event = Started | Seen | Listed | Took | NotTaken | Due | UnknownDue
+Event = Started | Seen | Heard | Listed | Took | NotTaken | Due | UnknownDue
 
 
 # ---- Actions ----------------------------------------------------------------------------------------------
@@ -142,6 +150,8 @@
     run: int
     since: float
     left: bool = False
+    heard: set[str] = field(default_factory=set)  # who has spoken since
+    sure_at: float | None = None  # when those and this one were a majority
 
 
 @dataclass(slots=True)
@@ -162,9 +172,9 @@
     name: str
     names: frozenset[str]
     seed: int
+    period_ms: float = 500.0  # between a director's probes
     _boxes: frozenset[str] = frozenset()
     _there: tuple[str, ...] = ()
-    _majority: bool = False
     _gone: dict[str, _Gone] = field(default_factory=dict)
     _heard: set[str] = field(default_factory=set)
     _work: dict[tuple[str, str], _Work] = field(default_factory=dict)
@@ -183,6 +193,13 @@
                 return self._started(now, run)
             case Seen():
                 return self._seen(now, event)
+            case Heard(peer):
+                for name, gone in self._gone.items():
+                    if peer != name and gone.sure_at is None:
+                        gone.heard.add(peer)
+                        if 2 * (1 + len(gone.heard)) > len(self.names):
+                            gone.sure_at = now
+                return []
             case Listed(boxes):
                 self._boxes = boxes
                 return self._plan()
@@ -209,9 +226,10 @@
     def certain(self, now: float, name: str) -> bool:
         """Whether its end is sure enough to go before a box's hearing from it."""
         gone = self._gone.get(name)
-        if gone is None:
-            return False
-        return gone.left or (self._majority and gone.run > 0 and now - gone.since >= CERTAIN_MS)
+        if gone is None or gone.left:
+            return gone is not None
+        wait = max(CERTAIN_MS, CERTAIN_PERIODS * self.period_ms)
+        return gone.run > 0 and gone.sure_at is not None and now - gone.sure_at >= wait
 
     def own_done(self, box: str) -> bool:
         """Whether what earlier runs of this director left at a box is this run's by now."""
@@ -240,7 +258,7 @@
         return [*wait, *self._plan()]
 
     def _seen(self, now: float, seen: Seen) -> list[Action]:
-        self._there, self._majority = seen.there, seen.majority
+        self._there = seen.there
         if seen.peer == self.name or seen.peer not in self.names:
             if seen.peer != self.name:
                 self._gone.pop(seen.peer, None)  # the settings name it no more
--- a/foxlift/standins/player.py
+++ b/foxlift/standins/player.py
@@ -147,11 +147,12 @@
         new_token: Callable[[Viewer, int], tuple[str, str]],
         pick: Callable[[], float],
         retries: int = 4,
+        faithful: bool = False,
     ) -> None:
         self.viewer, self.ports, self.director = viewer, ports, first
         self._new_token, self._pick = new_token, pick
         self.watching = Watching(viewer)
-        self._retries = retries
+        self._retries, self._faithful = retries, faithful
         self.cap = 1e9  # kbit/s, as CMSD said last, of video and sound together
         self.tabs: list[asyncio.Task[Watching]] = []
         self._bought = 0
@@ -206,9 +207,9 @@
             tried.answered = loop.time()
             self.watching.gave_up = type(error).__name__
             self.director = (self.director + 1) % len(self.ports)
-            if isinstance(error, TimeoutError) and self.viewer.paid:
+            if isinstance(error, TimeoutError) and self.viewer.paid and not self._faithful:
                 return None, None
-            if self.viewer.paid:
+            if self.viewer.paid and not self._faithful:
                 self._buy()  # nobody knows what became of the old one
             return None, 0.5 + self._pick()
         finally:
--- a/foxlift/standins/tap.py
+++ b/foxlift/standins/tap.py
@@ -44,6 +44,7 @@
 
 
 _numbers = count(1)
+_AT_REST = ways.Terms()
 
 
 class Tap:
@@ -59,11 +60,13 @@
         recorder: Recorder,
         loop: asyncio.AbstractEventLoop,
         picks: Callable[[bytes], bool] = lambda first: True,
+        rest: ways.Terms = _AT_REST,
     ) -> None:
+        self.rest = rest  # where there is no fault
         self.name, self.recorder, self.loop, self.picks = name, recorder, loop, picks
         self.port = 0
         self.target = 0
-        self.up = self.down = ways.Terms()  # what new connections begin with
+        self.up = self.down = rest  # what new connections begin with
         self._server: asyncio.Server | None = None
         self._sides: set[_Side] = set()
 
@@ -85,7 +88,7 @@
 
     def mend(self) -> None:
         """Pass on as if nothing had been; connections that have lost bytes are reset."""
-        self.change(ways.Terms(), ways.Terms())
+        self.change(self.rest, self.rest)
         for side in list(self._sides):
             if side.way.dumb:
                 side.reset()
--- a/tests/many.py
+++ b/tests/many.py
@@ -22,7 +22,6 @@
 from foxlift.standins.ways import State, Terms
 from foxlift.tokens import Issuer, SessionToken
 
-
 WIDE = (
     ("(lost-after-ms 400)", "(lost-after-ms 2000)"),
     ("(link-kb-per-weight 7000)", "(link-kb-per-weight 700000)"),
