--- a/foxlift/cli/main.py
+++ b/foxlift/cli/main.py
@@ -214,9 +214,10 @@
 ) -> None:
     """Run a scripted day on stand-ins and judge the six rules from the sockets' traffic.
 
-    SCENARIO is the name of a built-in day (bad-day, billing-day, short-day, takeover, short-takeover) or a scenario file. With
-    --faults the day has faults drawn from the seed between directors, boxes and list; where a rule breaks,
-    --shrink looks for the least of them that break it and prints the command that plays those again.
+    SCENARIO is the name of a built-in day (bad-day, billing-day, short-day, takeover, short-takeover) or a
+    scenario file. With --faults the day has faults drawn from the seed between directors, boxes and list;
+    where a rule breaks, --shrink looks for the least of them that break it and prints the command that plays
+    those again.
 
     \b
     Examples:
--- a/foxlift/director/core.py
+++ b/foxlift/director/core.py
@@ -290,6 +290,7 @@
         best = terms.top if token.best_rung is None else min(token.best_rung, terms.top)
         made = ev.Session(number, token, one.title, klass, paid, one.path_token, top=max(best, terms.floor))
         made.rung, made.node, made.attempts, made.started = one.rung, event.node, 1, self._now
+        made.since = one.at
         self.sessions[number] = made
         self._link_wanted(event.node)
         self._attempt(at.Resumes(number, event.node, one.rung, one.set_up, event.boot, event.counter))
@@ -303,6 +304,9 @@
         if found is None or not self.attempts.knows(set_up):
             self._claim(cl.Lost(set_up))
             return
+        session = self.sessions.get(found[0])
+        if session is not None and 0 < when < session.since:
+            return  # of an earlier time that it was this director's
         self._claim(cl.Elsewhere(found[0]))
         self._attempt(at.EndedAtBox(*found, fl.Outcome.CANCELLED, when))
 
@@ -427,7 +431,7 @@
 
     def _started(self, told: at.TellStarted) -> None:
         session = self.sessions[told.session]
-        session.started = self._now
+        session.started, session.since = self._now, told.when
         if session.paid and session.place is None:
             self._out.append(ev.SettleIntent(session.token.id, Verdict.STARTED))
         set_up = self.attempts.set_up_id(told.session, told.attempt)
--- a/foxlift/director/events.py
+++ b/foxlift/director/events.py
@@ -172,6 +172,7 @@
     attempts: int = 0
     withdrawn: bool = False
     started: float = 0.0  # ms on the module's clock
+    since: int = 0  # since when it is this director's, Unix ms of its box
     # as last shown: rung, whose token in its URLs; headers and body
     manifest: tuple[tuple[int, str], Headers, bytes] | None = None
     over: bool = False
--- a/foxlift/director/peerhost.py
+++ b/foxlift/director/peerhost.py
@@ -183,7 +183,9 @@
             return
         for gone in answer.gone:
             daemon.feed(ev.Notice(node, TakenThere((gone.set_up,), gone.by, gone.at)))
-            daemon.journal.handle(int(daemon.timeline.now()), Ended(gone.at, gone.set_up))
+            left = daemon.journal.book.account.open.get(gone.set_up)
+            if left is not None and left.began <= gone.at:
+                daemon.journal.handle(int(daemon.timeline.now()), Ended(gone.at, gone.set_up))
         adoptees = tuple(filter(None, (self._adoptee(box, held) for held in answer.sessions)))
         new = [one for one in adoptees if not daemon.core.attempts.knows(one.set_up)]
         if adoptees:
--- /dev/null
+++ b/foxlift/rehearsal/days/short-takeover.sexp
@@ -0,0 +1,23 @@
+; A short day of directors that take over each other's work: deaths, a stall, cuts, lost answers, a rolling restart.
+(scenario (name "short-takeover") (seconds 22) (viewers 150)
+  (directors 5) (boxes 10) (racks 5) (zones north-1 north-2 south-1 south-2 west-1) (titles 10) (holders 4)
+  (takeover true) (peer-ms 150) (grace-s 40) (far-s 0.004) (clocks-s 2) (faithful true)
+  (classes
+    (class (terms (name "graded-lesson") (repeat once) (wanted-ms 1500) (deadline-ms 3000) (worth 3) (top 3)
+                  (floor 1))
+           (part 0.5) (length-s 4 14))
+    (class (terms (name "briefing-replay") (repeat free) (wanted-ms 1000) (deadline-ms 5000) (worth 1) (top 3)
+                  (rate-scale 0.7))
+           (part 0.5) (length-s 4 14)))
+  (tenants (tenant (name "north") (part 0.67)) (tenant (name "south") (part 0.33)))
+  (ladder-kb 150 400 900 2000) (ladder-worth 0.22 0.5 0.76 1)
+  (link-kb 14000) (uplink-kb 28000) (places 40) (warm-up-ms 3000) (segment-s 0.5)
+  (idle-s 6) (park-s 60)
+  (steps
+    (step (at-s 3) (do kill) (on "d1") (for-s 7))
+    (step (at-s 4) (do lose-answers) (on "b3") (value 0.3) (for-s 2))
+    (step (at-s 5) (do cut) (on "d2>d0") (for-s 3))
+    (step (at-s 6) (do stall) (on "d3") (for-s 5))
+    (step (at-s 9) (do cut) (on "d0-directors") (for-s 2))
+    (step (at-s 13) (do kill) (on "d4") (for-s 1))
+    (step (at-s 15) (do roll))))
--- a/foxlift/rehearsal/files.py
+++ b/foxlift/rehearsal/files.py
@@ -239,4 +239,5 @@
         extra_free=scenario.extra_free,
         extra_ratio=scenario.extra_ratio,
         extra_span_s=scenario.extra_span_ms / 1000,
+        takeover=scenario.takeover,
     )
--- a/foxlift/rehearsal/report.py
+++ b/foxlift/rehearsal/report.py
@@ -20,6 +20,8 @@
     5: "floor and seats",
     6: "budget of attempts",
     7: "beside the rules: bytes within what was booked",
+    8: "beside the rules: commanded by its owner alone",
+    9: "beside the rules: no session ends without a cause",
 }
 
 
@@ -43,6 +45,9 @@
         "requests": verdict.requests,
         "answers": {str(k): v for k, v in sorted(verdict.answers.items())},
         "set_ups": verdict.set_ups,
+        "taken_over": verdict.taken_over,
+        "refused_commands": verdict.refused_commands,
+        "spent": verdict.spent,
         "ways_back": sum(w.ways_back for w in result.watched),
         "switches": sum(w.switches for w in result.watched),
         "stalls": sum(w.stalls for w in result.watched),
@@ -51,6 +56,7 @@
         "reloads": sum(w.reloads for w in result.watched),
         "billing": asdict(result.billing),
         "exits": result.exits,
+        "rolled": result.rolled,
         "seconds": round(result.seconds, 1),
     }
 
@@ -73,6 +79,11 @@
         f" {report['breaks']} breaks; {report['reloads']} reloads; {report['ways_back']} ways back,"
         f" {report['switches']} switches of rendition"
     )
+    if result.scenario.takeover:
+        console.print(
+            f"{report['taken_over']} sessions changed hands, {report['refused_commands']} commands of others"
+            f" than their owner refused, {report['spent']} paid tokens spent though their box lived"
+        )
     rules = Table("rule", "", "broken")
     for number, text in RULES.items():
         count = sum(1 for b in result.verdict.broken if b.rule == number)
--- a/foxlift/standins/box.py
+++ b/foxlift/standins/box.py
@@ -213,8 +213,9 @@
         session.paid, session.max_kbps = order.paid, order.max_kbps
         session.klass, session.tenant, session.claim = order.klass, order.tenant, order.claim
         session.note, session.grace_s = order.note, order.grace_ms / 1000
+        session.told_ms = unix_ms()
         if order.run:
-            self.owners.begin(set_up, order.director, order.run, unix_ms())
+            self.owners.begin(set_up, order.director, order.run, session.told_ms)
         model.counter += 1
         self._stream_lost.setdefault(order.director, now)
         if order.director in self._streams:
--- a/foxlift/standins/owners.py
+++ b/foxlift/standins/owners.py
@@ -105,6 +105,7 @@
         ]
         for set_up in found[:most]:
             owned = self.sessions[set_up]
+            self.lost.get(by, {}).pop(set_up, None)  # it may have been its once before
             if of != by:
                 told = self.lost.setdefault(of, {})
                 told[set_up] = (now_ms, by)
