A paid set-up names its box's process; 20,000 schedules and every order of a small world

Need: cores in virtual time under a scheduler that may do anything, and each guard shown to be needed.

Found by the exhaustive small world: a fence died with its box's process, so that a set-up that overtook a take and a restart of the box could run after the token had been claimed anew (eleven steps: claim, take answered 'never', box restarts, new claim runs, the old set-up arrives). Change: claim and set-up name the box's process as it was known before the claim; no other process runs it (503 rebooted, which proves that nothing ran), and 'never' counts only from that process. Clocks matter only where a box has forgotten ends.

--- a/foxlift/boxes/resource.py
+++ b/foxlift/boxes/resource.py
@@ -19,7 +19,8 @@
     (CTA-5006) on every segment. 0: no cap is told.
 
     `run` above 0 is the director's, and makes the session one that other directors can take over; it is kept
-    for `grace_ms` without its owner's stream, and `note` with it, for whoever takes it over.
+    for `grace_ms` without its owner's stream, and `note` with it, for whoever takes it over. Only the box's
+    process `boot` runs it; empty: any.
     """
 
     director: str
@@ -36,6 +37,7 @@
     run: Annotated[int, Meta(ge=0, lt=2**53)] = 0
     grace_ms: Annotated[float, Meta(ge=0, le=3_600_000)] = 0.0
     note: Annotated[str, Meta(max_length=1000)] = ""
+    boot: Annotated[str, Meta(max_length=200)] = ""
 
 
 class SetUpDone(msgspec.Struct, frozen=True):
@@ -68,9 +70,9 @@
 def box_outcome(status: int, refusal: str | None) -> fl.Outcome:
     """What a box's answer other than 201 says of the set-up.
 
-    Only a box's own word in `foxlift-refusal` (`full`, `draining`, `cold` or `fenced`) proves that nothing
-    ran: a bare 503 may come from anything between.
+    Only a box's own word in `foxlift-refusal` (`full`, `draining`, `cold`, `fenced`, `rebooted`) proves that
+    nothing ran: a bare 503 may come from anything between.
     """
-    if status == 503 and refusal in ("full", "draining", "cold", "fenced"):
+    if status == 503 and refusal in ("full", "draining", "cold", "fenced", "rebooted"):
         return fl.Outcome.FULL
     return fl.Outcome.ERROR
--- a/foxlift/boxes/takeover.py
+++ b/foxlift/boxes/takeover.py
@@ -10,6 +10,7 @@
 from foxlift.boxes.resource import Id
 
 OWNER = "foxlift-owner"  # header of a director's commands: name/run
+BOOT = "foxlift-boot"  # header of a box's refusal: its process
 MOST_NOTE = 1000
 MOST_TAKEN = 200  # sessions handed over by one answer
 
@@ -59,8 +60,8 @@
 class TakeAnswer(msgspec.Struct, frozen=True, rename="kebab"):
     """What the asker owns there now by takeover, whether through this order or an earlier one.
 
-    `since`: the box remembers what ended after this (Unix ms). `only`: what it knows of the one asked for;
-    `owner` whose it is. `gone`: what others took of the asker's own earlier runs.
+    `since`: what ended up to then (Unix ms) it may have forgotten; 0: nothing. `only`: what it knows of that
+    one; `owner`: whose it is. `gone`: what others took of the asker's own earlier runs.
     """
 
     boot: str
--- a/foxlift/director/core.py
+++ b/foxlift/director/core.py
@@ -401,7 +401,7 @@
                     session = self.sessions[number]
                     box = self.boxes[node].name
                     set_up = self.attempts.set_up_id(number, attempt)
-                    self._out.append(ev.KeepIntent(number, attempt, session.token, box, set_up))
+                    self._out.append(ev.KeepIntent(number, attempt, session.token, box, set_up, node))
                 case at.Put():
                     self._put(action)
                 case at.PutRung(number, attempt, node, rung):
--- a/foxlift/director/daemon.py
+++ b/foxlift/director/daemon.py
@@ -17,6 +17,7 @@
 from foxlift import interface as fl
 from foxlift.boxes import (
     BadNotice,
+    Hello,
     NoticeReader,
     SetUpOrder,
     TakenThere,
@@ -453,12 +454,13 @@
             run=0 if self.peers is None else self.peers.peering.run,
             grace_ms=self.config.peers.grace_ms if self.peers is not None else 0.0,
             note="" if self.peers is None else self.peers.note(session),
+            boot=session.boot if session.paid else "",
         )
 
         def result(found: Answer | Failure) -> None:
             self._puts.pop(key, None)
             if self.peers is not None:
-                self.peers.refused(found)
+                self.peers.refused(found, node=put.node)
             self.feed(_put_event(key, found))
 
         self.counters.add("set-ups sent")
@@ -558,6 +560,8 @@
                 self.feed(ev.Notice(node, notice))
                 if self.peers is not None and isinstance(notice, TakenThere):
                     self.peers.peering.renew()
+                elif self.peers is not None and isinstance(notice, Hello):
+                    self.peers.heard_boot(node, notice.boot)
 
         def result(found: Answer | Failure) -> None:
             if self.peers is not None:
--- a/foxlift/director/events.py
+++ b/foxlift/director/events.py
@@ -176,6 +176,7 @@
     # as last shown: rung, whose token in its URLs; headers and body
     manifest: tuple[tuple[int, str], Headers, bytes] | None = None
     over: bool = False
+    boot: str = ""  # of the box, as it was known when the token was claimed
     unclaimed: bool = False  # its token is another's: nothing of it is to be written down
 
 
@@ -251,6 +252,7 @@
     token: SessionToken
     box: str
     set_up: str
+    node: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxlift/director/peerhost.py
+++ b/foxlift/director/peerhost.py
@@ -8,7 +8,16 @@
 import msgspec
 
 from foxlift.boxes.notices import TakenThere
-from foxlift.boxes.takeover import HeldThere, Note, TakeAnswer, TakeOrder, owner_header, read_note, write_note
+from foxlift.boxes.takeover import (
+    BOOT,
+    HeldThere,
+    Note,
+    TakeAnswer,
+    TakeOrder,
+    owner_header,
+    read_note,
+    write_note,
+)
 from foxlift.decide.claims import Why
 from foxlift.director import events as ev
 from foxlift.director.answers import Held
@@ -18,6 +27,7 @@
 from foxlift.recovery.claims import Claim
 from foxlift.tokens import SessionToken
 
+UNKNOWN = "-"  # no box is called so: a set-up for it is refused, and the refusal tells the name
 MOST_ROUTED = 4  # times that one request is looked for elsewhere
 
 if TYPE_CHECKING:
@@ -29,6 +39,7 @@
 
     def __init__(self, daemon: Daemon) -> None:
         self.daemon = daemon
+        self._boots: dict[int, str] = {}  # by box: its process, as it was heard of last
         self.peering = Peering(
             daemon.config, daemon.loop, daemon.timeline, daemon.files, daemon.counters, self
         )
@@ -149,6 +160,20 @@
         """Names the sender of a command."""
         return (owner_header(self.daemon.config.name, self.peering.run),)
 
+    def boot(self, keep: ev.KeepIntent) -> str:
+        """The process that a paid set-up is for, written into its claim and sent with it."""
+        boot = self._boots.get(keep.node, UNKNOWN)
+        session = self.daemon.core.sessions.get(keep.session)
+        if session is not None:
+            session.boot = boot
+        return boot
+
+    def heard_boot(self, node: int, boot: str) -> None:
+        """A box says which process it is."""
+        self._boots[node] = boot
+        if len(self._boots) > 2 * len(self.daemon.core.boxes) + 64:
+            self._boots = {n: b for n, b in self._boots.items() if n in self.daemon.core.boxes or n == node}
+
     def note(self, session: ev.Session) -> str:
         """What a box keeps for whoever takes this session over."""
         token = session.token
@@ -181,6 +206,7 @@
         daemon, node = self.daemon, self.node(box)
         if node is None:
             return
+        self.heard_boot(node, answer.boot)
         for gone in answer.gone:
             daemon.feed(ev.Notice(node, TakenThere((gone.set_up,), gone.by, gone.at)))
             left = daemon.journal.book.account.open.get(gone.set_up)
@@ -193,7 +219,7 @@
         for one in new:
             daemon.counters.add("adopted")
             if daemon.core.is_paid(one.token.klass):
-                self.peering.reclaim(one.token.id, one.set_up, box, one.token.expires)
+                self.peering.reclaim(one.token.id, one.set_up, box, answer.boot, one.token.expires)
         daemon.reopen_notices(node)
 
     def _adoptee(self, box: str, held: HeldThere) -> ev.Adoptee | None:
@@ -217,8 +243,10 @@
         until = daemon.timeline.unix_s() + held.parked_ms / 1000 if held.parked_ms else 0.0
         return ev.Adoptee(token, title, held.set_up, held.rung, held.path_token, held.at, until)
 
-    def refused(self, found: Answer | Failure, set_up: str = "") -> bool:
+    def refused(self, found: Answer | Failure, set_up: str = "", node: int | None = None) -> bool:
         """Whether a box said that somebody else owns what was commanded; what that means is seen to."""
+        if node is not None and isinstance(found, Answer) and (boot := found.header(BOOT)):
+            self.heard_boot(node, boot)
         if not isinstance(found, Answer) or found.header("foxlift-refusal") not in ("not-owner", "fenced"):
             return False
         if found.header("foxlift-refusal") == "fenced":
--- a/foxlift/director/peering.py
+++ b/foxlift/director/peering.py
@@ -105,6 +105,7 @@
     def take(self, box: str, order: TakeOrder, done: Callable[[Answer | Failure], None]) -> bool: ...
     def call_of(self, number: int) -> tuple[str, Headers, float] | None: ...
     def renewed(self) -> None: ...
+    def boot(self, keep: ev.KeepIntent) -> str: ...
     def superseded(self) -> None: ...
 
 
@@ -436,7 +437,9 @@
     def claim(self, keep: ev.KeepIntent, then: Callable[[], None]) -> None:
         """Claim the token of a paid set-up; `then` once it holds. Else the core is told whose it is."""
         number, token = self._number(), keep.token
-        claim = rc.Claim(self.config.name, self.run, keep.box, keep.set_up, int(self.timeline.now()))
+        boot = self.host.boot(keep)
+        now = int(self.timeline.now())
+        claim = rc.Claim(self.config.name, self.run, keep.box, keep.set_up, now, boot)
         self._claiming[number] = _Waiting(keep, claim, then)
         self.counters.add("claims")
         if token.expires - self.timeline.unix_s() > self.config.peers.longest_token_s and not self._too_long:
@@ -482,12 +485,12 @@
         self._rereads[asking], self._endings[asking] = held, ended
         self._want(asking, token, mine, expires, None)
 
-    def reclaim(self, token: str, set_up: str, box: str, expires: int) -> None:
+    def reclaim(self, token: str, set_up: str, box: str, boot: str, expires: int) -> None:
         """A session was taken over: its register names this director from now on.
 
         Where that cannot be done the register goes on naming one that is gone, whose successor is asked then.
         """
-        claim = rc.Claim(self.config.name, self.run, box, set_up, int(self.timeline.now()))
+        claim = rc.Claim(self.config.name, self.run, box, set_up, int(self.timeline.now()), boot)
         self._reclaims.append((token, claim, expires))
         self._next_reclaim()
 
@@ -687,7 +690,7 @@
         if taking.work:
             self._takeover(tk.Took(taking.work, answer.more))
         if taking.request:
-            told = rt.BoxTold(taking.request, answer.only, answer.owner, answer.since)
+            told = rt.BoxTold(taking.request, answer.only, answer.owner, answer.since, answer.boot)
             self._route(self.routes.handle(told))
 
     def _not_taken(self, taking: _Taking, why: tk.Why) -> None:
--- a/foxlift/recovery/claims.py
+++ b/foxlift/recovery/claims.py
@@ -27,7 +27,8 @@
 class Claim(msgspec.Struct, frozen=True, array_like=True):
     """A register's value: which attempt is out or plays, whose, and where; `at`: when written, Unix ms.
 
-    Where that is not known it is 0: then no box's memory reaches back far enough to prove anything.
+    `boot`: the box's process that the set-up is for: no other one runs it. Where that is not known, no box
+    can prove anything of it.
     """
 
     owner: str
@@ -35,6 +36,7 @@
     box: str
     set_up: str
     at: int = 0
+    boot: str = ""
 
     def write(self) -> str:
         """The value as the registers hold it."""
--- a/foxlift/recovery/route.py
+++ b/foxlift/recovery/route.py
@@ -10,8 +10,8 @@
     ASKS      yours                                       (none)    Verdict: shown, adopted by now
     ASKS      another's                                   PASSED    to that one, unless it was passed already
     ASKS      ended                                       (none)    Verdict: played
-    ASKS      never, and the box remembers so far         (none)    Verdict: open, in place of that claim
-    ASKS      never, and it does not                      (none)    Verdict: failed, it may have run
+    ASKS      never, by the process it was for             (none)    Verdict: open, in place of that claim
+    ASKS      never, by another one                        (none)    Verdict: failed, it may have run
     ASKS      no answer, or it hears from the owner       (none)    Verdict: come back
     ASKS      the box is no more                          (none)    Verdict: failed, it may have run
 
@@ -74,12 +74,16 @@
 
 @dataclass(frozen=True, slots=True)
 class BoxTold:
-    """What the box knows: `became` as in its answer; what ended after `since` (Unix ms) it remembers."""
+    """What the box's process `boot` knows: `became` as in its answer.
+
+    What ended up to `since` (Unix ms, 0 for nothing) it may have forgotten.
+    """
 
     request: int
     became: str
     owner: str
     since: int
+    boot: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -203,7 +207,9 @@
                 return self._pass(wish, told.owner)
             case "ended":
                 return [self._tell(wish, Verdict.PLAYED)]
-            case "never" if wish.claim.at > told.since + self.clocks_apart_ms:
+            case "never" if told.boot == wish.claim.boot and (
+                not told.since or wish.claim.at > told.since + self.clocks_apart_ms
+            ):
                 return [Tell(wish.request, Verdict.OPEN, instead_of=wish.claim)]
             case _:
                 return [self._tell(wish, Verdict.FAILED)]
--- a/foxlift/rehearsal/billing.py
+++ b/foxlift/rehearsal/billing.py
@@ -75,6 +75,7 @@
             answer = json.loads(exchange.answer.body)
             for held in (*answer["sessions"], *answer["gone"]):
                 use.taken[held["set-up"]].add(held["at"])
+            use.paid.update((h["set-up"], h["claim"]) for h in answer["sessions"] if h["paid"])
         if exchange.method != "PUT":
             continue
         again = len(parts) == 4 and parts[3] == "resume"
--- a/foxlift/standins/box.py
+++ b/foxlift/standins/box.py
@@ -21,7 +21,7 @@
     encode_notice,
 )
 from foxlift.boxes.resource import RungOrder, SetUpOrder
-from foxlift.boxes.takeover import MOST_TAKEN, OWNER, GoneThere, HeldThere, TakeAnswer, TakeOrder
+from foxlift.boxes.takeover import BOOT, MOST_TAKEN, OWNER, GoneThere, HeldThere, TakeAnswer, TakeOrder
 from foxlift.http import Cors, Exchange, Headers, Limits, Request, Server, StreamOut
 from foxlift.standins.media import Filler, Media
 from foxlift.standins.model import BoxModel, BoxSession
@@ -89,7 +89,7 @@
     async def start(self, port: int = 0, cold: bool = False) -> None:
         """Begin to serve as a new process of the same name."""
         self.model.start(self.loop.time(), cold)
-        self.owners = Owners(unix_ms())
+        self.owners = Owners()
         self.hanging, self.lose_answers, self.answer_slowly = False, 0.0, False
         self._server = Server(self.loop, self._asked, Limits(idle_time_ms=30_000.0), self._cors)
         self.port = await self._server.listen("127.0.0.1", port or self.port)
@@ -164,6 +164,11 @@
         if order.run and self.owners.fenced(order.director, order.run):
             self._refuse(exchange, "fenced")
             return
+        if order.boot and order.boot != model.boot:
+            # meant for an earlier process, which may have been asked what became of it
+            extra = (("foxlift-refusal", "rebooted"), (BOOT, model.boot), *self._load_header())
+            exchange.reply_problem(503, "not this process of the box", extra=extra)
+            return
         if set_up in model.sessions:
             self._done(exchange, 200, model.sessions[set_up])  # idempotent: it runs already
             return
@@ -356,7 +361,7 @@
             model.boot,
             model.counter,
             now_ms,
-            owners.since_ms(),
+            owners.forgot_ms,
             tuple(map(self._held_there, yours)),
             tuple(GoneThere(set_up, at, by) for set_up, (at, by) in gone.items()),
             taken.more,
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -8,12 +8,13 @@
 
 import msgspec
 import pytest
+import uvloop
 from click.testing import CliRunner
 from hypothesis import given
 from hypothesis import strategies as st
 
 from foxlift.cli.main import main
-from foxlift.rehearsal import built_in, shrink, with_faults
+from foxlift.rehearsal import built_in, run_day, shrink, with_faults
 from foxlift.rehearsal.faults import KINDS, draw_faults, terms_of
 from foxlift.rehearsal.scenario import LINK_FAULTS, Link, Step
 from foxlift.standins import ways
@@ -135,3 +136,14 @@
     marks = [line for line in (folder / "taps.bin").read_bytes().split(b"\n") if b'"k": "mark"' in line]
     links = [m for m in map(json.loads, marks) if "link" in m]
     assert {m["text"].removesuffix(" over") for m in links} == {"cut", "hold", "reset", "delay", "break"}
+
+
+def test_the_short_takeover_day_keeps_every_rule_and_ends_no_session(tmp_path: Path) -> None:
+    """Five directors that take over each other's work, as `foxlift rehearse short-takeover` plays them."""
+    result = uvloop.run(run_day(built_in("short-takeover"), 4, tmp_path, lambda at_s, text: None))
+    seen = result.verdict.broken[:5], result.billing.differences[:5], result.exits, result.rolled
+    assert result.kept, seen
+    assert result.verdict.taken_over > 30
+    assert sum(watching.breaks for watching in result.watched) == 0
+    for log in tmp_path.glob("*.log"):
+        assert "Traceback" not in log.read_text()
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,442 @@
+"""Claims and takeovers in virtual time: one set-up a paid token, whatever happens to messages."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from typing import Any
+
+import pytest
+from recovery_world import BOX, World
+
+from foxlift.peers.messages import State as PeerState
+from foxlift.recovery import claims as rc
+from foxlift.recovery import route as rt
+from foxlift.recovery import standing as st
+from foxlift.recovery import takeover as tk
+from foxlift.standins.owners import Owners, Taken
+
+SCHEDULES = 20_000
+
+
+def play(world: World, most: int = 220) -> World:
+    for _ in range(most):
+        world.step()
+    return world
+
+
+@pytest.mark.parametrize("part", range(8))
+def test_one_set_up_a_paid_token_in_twenty_thousand_schedules(part: int) -> None:
+    ran: Counter[int] = Counter()
+    taken = 0
+    for seed in range(part * SCHEDULES // 8, (part + 1) * SCHEDULES // 8):
+        world = play(World(seed))
+        assert len(world.ran) <= 1, f"seed {seed}: {world.ran}"
+        ran[len(world.ran)] += 1
+        taken += any(owned.taken for owned in world.owners.sessions.values())
+    print(f"seeds {part * SCHEDULES // 8} on: ran {dict(ran)}, taken over at the end {taken}")
+    assert ran[1] > SCHEDULES // 16 and taken > 20  # most get somewhere, and takes happen
+
+
+# ---- Each guard switched off ------------------------------------------------------------------------------
+class Unfenced(Owners):
+    def take(self, *args: Any, **more: Any) -> Taken:
+        before = dict(self.fences)
+        found = super().take(*args, **more)
+        self.fences = before
+        return found
+
+
+class Forgetful(Owners):
+    """What ended is not remembered."""
+
+    def over(self, set_up: str, now_ms: int) -> None:
+        self.sessions.pop(set_up, None)
+
+
+class Rash(rt.Routes):
+    """A process of the box that the set-up was not for is believed all the same."""
+
+    def _told(self, wish: rt.Wish, told: rt.BoxTold) -> list[rt.Action]:
+        boot = wish.claim.boot if wish.claim is not None else ""
+        return super()._told(wish, rt.BoxTold(told.request, told.became, told.owner, 0, boot))
+
+
+class Sameness(rc.PaidClaims):
+    """An earlier run's claim is taken for this run's own."""
+
+    def _decided(self, now: float, asked: Any, value: str) -> list[rc.Action]:
+        found = rc.read_claim(value)
+        if found is not None and found.owner == self.name and value != asked.want.claim.write():
+            return self._change(now, type(asked)(asked.want, value, 2))
+        return super()._decided(now, asked, value)
+
+
+class Unasked(rc.PaidClaims):
+    """Nobody is asked."""
+
+    def handle(self, now: float, event: rc.Event) -> list[rc.Action]:
+        return [rc.Held(event.number)] if isinstance(event, rc.Want) else []
+
+
+@pytest.mark.parametrize(
+    "off",
+    [
+        {"make_owners": Unfenced},
+        {"make_owners": Forgetful},
+        {"make_routes": Rash},
+        {"make_claims": Sameness},
+        {"make_claims": Unasked},
+        {"done_looks_again": False},
+        {"asks_boot": False},
+    ],
+    ids=["fence", "memory", "whose memory", "own earlier run", "claim", "look when done", "boot"],
+)
+def test_each_guard_switched_off_lets_a_token_be_set_up_twice(off: dict[str, Any]) -> None:
+    assert any(len(play(World(seed, **off)).ran) > 1 for seed in range(20_000))
+
+
+# ---- Every order of a small world -------------------------------------------------------------------------
+class Small(World):
+    """Two directors, one box; every message arrives once, in any order, or never."""
+
+    def choices(self) -> list[str]:
+        found = [f"out {k}" for k in range(len(self.out))]
+        for name, process in self.processes.items():
+            if process.up and not process.spent and not process.pending and process.asked < 2:
+                found.append(f"ask {name}")
+            if process.up and self.runs[name] < 2:
+                found.append(f"kill {name}")
+            if not process.up and self.runs[name] < 2:
+                found.append(f"start {name}")
+        if self.boots < 1:
+            found.append("box")
+        return found
+
+    def do(self, choice: str) -> None:
+        what, _, which = choice.partition(" ")
+        self.now += 100
+        match what:
+            case "out":
+                self.out.pop(int(which))[1]()
+            case "ask":
+                self.ask(which)
+            case "kill":
+                self.kill(which)
+            case "start":
+                self.start(which)
+            case "box":
+                self.box_dies()
+
+    def fingerprint(self) -> tuple[Any, ...]:
+        directors = tuple(
+            (
+                p.name,
+                p.run,
+                p.up,
+                p.spent,
+                tuple(sorted(p.playing)),
+                p.asked,
+                p.set_ups,
+                len(p.pending),
+                len(p.routes),
+            )
+            for p in self.processes.values()
+        )
+        value = rc.read_claim(self.store["value"] or "")
+        held = None if value is None else (value.owner, value.run, value.set_up)
+        old = value is not None and value.boot == str(self.boots)
+        sessions = tuple(sorted((s, o.name, o.run) for s, o in self.owners.sessions.items()))
+        fences = tuple(sorted(self.owners.fences.items()))
+        streams = tuple(sorted(self.owners.streams.items()))
+        return (
+            directors, held, old, sessions, fences, streams, tuple(sorted(self.owners.ended)), self.boots,
+            tuple(self.ran), tuple(sorted(what for what, _ in self.out)),
+        )  # fmt: skip
+
+
+def test_every_order_of_a_small_world() -> None:
+    seen: set[tuple[Any, ...]] = set()
+    stack: list[tuple[str, ...]] = [()]
+    transitions = most = 0
+    while stack:
+        path = stack.pop()
+        world = Small(1, directors=2, atomic=True)
+        for choice in path:
+            world.do(choice)
+        for choice in world.choices():
+            if len(path) >= 10:
+                break
+            again = Small(1, directors=2, atomic=True)
+            for step in (*path, choice):
+                again.do(step)
+            transitions += 1
+            assert len(again.ran) <= 1, (*path, choice)
+            mark = again.fingerprint()
+            if mark not in seen:
+                seen.add(mark)
+                most = max(most, len(path) + 1)
+                stack.append((*path, choice))
+    print(f"{len(seen)} states, {transitions} transitions, {most} steps deep")
+    assert len(seen) > 1000
+
+
+# ---- Who takes what over, and when ------------------------------------------------------------------------
+NAMES = frozenset(f"d{k}" for k in range(9))
+BOXES = frozenset(f"b{k}" for k in range(24))
+
+
+def there(*without: str) -> tuple[str, ...]:
+    return tuple(sorted(NAMES - set(without)))
+
+
+def taker(name: str, seed: int = 1) -> tk.Takeovers:
+    made = tk.Takeovers(name, NAMES, seed)
+    made.handle(0.0, tk.Started(100))
+    made.handle(0.0, tk.Listed(BOXES))
+    for other in sorted(NAMES - {name}):
+        made.handle(0.0, tk.Seen(other, PeerState.ALIVE, 7, there()))
+    return made
+
+
+def run(
+    made: tk.Takeovers, now: float, actions: list[tk.Action], until: float
+) -> list[tuple[float, tk.Take]]:
+    """Carry out timers; every take is answered at once."""
+    timers = [(now + a.delay_ms, k, a.event) for k, a in enumerate(actions) if isinstance(a, tk.StartTimer)]
+    found: list[tuple[float, tk.Take]] = []
+    count = len(timers)
+    while timers:
+        timers.sort()
+        at, _, event = timers.pop(0)
+        if at > until:
+            break
+        queue = made.handle(at, event)
+        while queue:
+            action = queue.pop(0)
+            if isinstance(action, tk.Take):
+                found.append((at, action))
+                queue += made.handle(at, tk.Took(action.work))
+            else:
+                count += 1
+                timers.append((at + action.delay_ms, count, action.event))
+    return found
+
+
+def test_a_dead_director_s_boxes_are_shared_out_among_the_survivors_each_once() -> None:
+    takes: Counter[str] = Counter()
+    by: Counter[str] = Counter()
+    for name in sorted(NAMES - {"d3"}):
+        made = taker(name)
+        actions = made.handle(10.0, tk.Seen("d3", PeerState.DEAD, 7, there("d3")))
+        for _, take in run(made, 10.0, actions, 5000.0):
+            if take.of == "d3":
+                takes[take.box] += 1
+                by[name] += 1
+    assert takes == Counter(dict.fromkeys(BOXES, 1))
+    assert max(by.values()) <= 8  # of 24 boxes: nobody takes the whole load
+
+
+def test_own_earlier_runs_are_taken_over_at_every_box() -> None:
+    made = tk.Takeovers("d0", NAMES, 1)
+    first = made.handle(0.0, tk.Started(100))
+    found = run(made, 0.0, [*first, *made.handle(0.0, tk.Listed(BOXES))], 5000.0)
+    assert {take.box for _, take in found} == BOXES
+    assert {(take.of, take.upto, take.certain) for _, take in found} == {("d0", 99, True)}
+    assert all(made.own_done(box) for box in BOXES)
+
+
+def test_few_takes_are_out_at_once_however_many_die() -> None:
+    made = taker("d0")
+    for name in sorted(NAMES - {"d0"}):
+        made.handle(10.0, tk.Seen(name, PeerState.DEAD, 7, ("d0",)))
+    out = 0
+    for number in list(made._by_number):
+        for action in made.handle(500.0, tk.Due(number, made._by_number[number].turn)):
+            out += isinstance(action, tk.Take)
+    assert out == tk.MOST_OUT
+
+
+def test_one_that_refuted_is_not_taken_over() -> None:
+    made = taker("d0")
+    actions = made.handle(10.0, tk.Seen("d3", PeerState.DEAD, 7, there("d3")))
+    made.handle(11.0, tk.Seen("d3", PeerState.ALIVE, 7, there()))
+    assert not [take for _, take in run(made, 10.0, actions, 5000.0) if take.of == "d3"]
+    assert not made.is_gone("d3")
+
+
+@pytest.mark.parametrize("heard, certain", [(4, True), (3, False)])
+def test_certain_is_only_who_has_heard_a_majority_since(heard: int, certain: bool) -> None:
+    made = taker("d0")
+    for name in ("d1", "d2", "d3", "d4"):
+        made.handle(5.0, tk.Heard(name))  # before: counts for nothing
+    made.handle(10.0, tk.Seen("d8", PeerState.DEAD, 7, there("d8")))
+    made.handle(11.0, tk.Heard("d8"))  # of itself
+    for k in range(1, heard + 1):
+        made.handle(20.0, tk.Heard(f"d{k}"))
+    assert not made.certain(3000.0, "d8")
+    assert made.certain(5000.0, "d8") is certain
+
+
+def test_who_left_in_order_is_taken_over_at_once_and_for_certain() -> None:
+    made = taker("d0")
+    actions = made.handle(10.0, tk.Seen("d3", PeerState.LEFT, 7, there("d3")))
+    found = [(at, take) for at, take in run(made, 10.0, actions, 300.0) if take.of == "d3"]
+    assert found and all(take.certain and at < 10.0 + tk.SPREAD_MS + 1 for at, take in found)
+
+
+def test_a_refused_take_comes_again_ever_later_and_never_stops() -> None:
+    made = taker("d0")
+    made.handle(10.0, tk.Seen("d3", PeerState.DEAD, 7, there("d3")))
+    work = next(w for w in made._work.values() if w.of == "d3")
+    waits = []
+    now = 300.0
+    for _ in range(10):
+        assert any(isinstance(a, tk.Take) for a in made.handle(now, tk.Due(work.number, work.turn)))
+        (timer,) = made.handle(now, tk.NotTaken(work.number, tk.Why.ALIVE))
+        assert isinstance(timer, tk.StartTimer)
+        waits.append(timer.delay_ms)
+        now += timer.delay_ms
+    assert max(waits) <= tk.AGAIN_MOST_MS and min(waits[5:]) >= tk.AGAIN_MOST_MS / 2
+
+
+def test_tables_are_bounded_by_names_and_boxes_whatever_happens() -> None:
+    chance = random.Random(5)
+    made = taker("d0")
+    now = 0.0
+    for turn in range(1200):
+        now += chance.uniform(0, 300)
+        name = chance.choice(sorted(NAMES))
+        state = chance.choice([PeerState.ALIVE, PeerState.SUSPECTED, PeerState.DEAD, PeerState.LEFT])
+        made.handle(now, tk.Seen(name, state, turn, there(name)))
+        if turn % 7 == 0:
+            made.handle(now, tk.Listed(frozenset(f"b{chance.randrange(500)}" for _ in range(24))))
+        for number in list(made._by_number)[:3]:
+            for action in made.handle(now, tk.Due(number, made._by_number[number].turn)):
+                if isinstance(action, tk.Take):
+                    made.handle(now, tk.NotTaken(action.work, tk.Why.SILENT))
+    sizes = made.sizes()
+    assert sizes["gone"] <= 9 and sizes["work"] <= 9 * 24
+
+
+# ---- Whether a disk may be believed -----------------------------------------------------------------------
+OTHERS = [f"d{k}" for k in range(1, 9)]
+
+
+def told(standing: st.Standing, befores: dict[str, int]) -> list[st.Action]:
+    return [action for peer, before in befores.items() for action in standing.handle(st.Told(peer, before))]
+
+
+def test_a_new_director_vouches_once_more_than_half_of_the_others_never_met_it() -> None:
+    made = st.Standing(OTHERS, 0, 1)
+    assert {a.peer for a in made.start() if isinstance(a, st.AskKnown)} == set(OTHERS)
+    assert not [a for a in told(made, dict.fromkeys(OTHERS[:4], 0)) if isinstance(a, st.Vouch)]
+    assert told(made, dict.fromkeys(OTHERS[:4], 0)) == []  # the same ones again count once
+    assert told(made, {OTHERS[4]: 0}) == [st.Vouch(False)]
+
+
+@pytest.mark.parametrize("last, lost", [(0, True), (40, True), (50, False)])
+def test_one_who_knew_a_run_that_the_disk_does_not_makes_it_a_lost_one(last: int, lost: bool) -> None:
+    made = st.Standing(OTHERS, last, 1)
+    made.start()
+    actions = told(made, {**dict.fromkeys(OTHERS[:4], 0), OTHERS[4]: 50})
+    assert actions == [st.Vouch(lost)]
+
+
+def test_any_two_majorities_of_the_others_share_one_who_knew() -> None:
+    """The rule that makes it sound: who wrote the last run down, and who is asked by the next, meet."""
+    for others in range(1, 12):
+        need = others // 2 + 1
+        assert 2 * need > others
+
+
+def test_silent_peers_are_asked_again_ever_later() -> None:
+    made = st.Standing(OTHERS, 5, 1)
+    waits = [a.delay_ms for a in made.start() if isinstance(a, st.StartTimer)]
+    for _ in range(8):
+        actions = made.handle(st.AskAgainDue())
+        waits += [a.delay_ms for a in actions if isinstance(a, st.StartTimer)]
+        assert sum(isinstance(a, st.AskKnown) for a in actions) == 8
+    assert max(waits) <= 1.5 * st.AGAIN_MOST_MS and waits[-1] > waits[0]
+
+
+# ---- Where requests go ------------------------------------------------------------------------------------
+CLAIM = rc.Claim("d1", 7, BOX, "d1.7-1-0", 1000, "b0#1")
+
+
+def routes(gone: bool = False, there: bool = True, successor: str = "d2") -> rt.Routes:
+    return rt.Routes("d0", 1, lambda n: gone, lambda n: there, lambda of, box: successor, 50)
+
+
+def test_a_request_goes_to_the_owner_while_it_is_there_and_to_its_successor_after() -> None:
+    assert routes().handle(rt.Wish(1, CLAIM)) == [rt.PassOn(1, "d1")]
+    assert routes(gone=True).handle(rt.Wish(1, CLAIM)) == [rt.PassOn(1, "d2")]
+    assert routes(gone=True, successor="d0").handle(rt.Wish(1, CLAIM)) == [rt.AskBox(1, CLAIM)]
+
+
+def test_a_request_makes_one_hop_at_most() -> None:
+    (tell,) = routes().handle(rt.Wish(1, CLAIM, passed=True))
+    assert isinstance(tell, rt.Tell) and tell.verdict is rt.Verdict.NOT_HERE
+
+
+def test_an_unreachable_owner_means_come_back_told_apart() -> None:
+    made = routes()
+    waits = set()
+    for number in range(50):
+        made.handle(rt.Wish(number, CLAIM))
+        (tell,) = made.handle(rt.NotPassed(number))
+        assert isinstance(tell, rt.Tell) and tell.verdict is rt.Verdict.COME_BACK
+        waits.add(round(tell.come_back_ms))
+    assert len(waits) > 40 and min(waits) >= rt.BACK_LEAST_MS and max(waits) <= rt.BACK_MOST_MS
+    assert len(made) == 0
+
+
+@pytest.mark.parametrize(
+    "became, since, boot, verdict",
+    [
+        ("yours", 0, "b0#1", rt.Verdict.SHOW),
+        ("ended", 0, "b0#1", rt.Verdict.PLAYED),
+        ("never", 0, "b0#1", rt.Verdict.OPEN),
+        ("never", 0, "b0#2", rt.Verdict.FAILED),  # of another process of that box
+        ("never", 900, "b0#1", rt.Verdict.OPEN),
+        ("never", 960, "b0#1", rt.Verdict.FAILED),  # within what clocks may differ by
+        ("never", 5000, "b0#1", rt.Verdict.FAILED),
+    ],
+)
+def test_what_the_box_knows_decides(became: str, since: int, boot: str, verdict: rt.Verdict) -> None:
+    made = routes(gone=True, successor="d0")
+    made.handle(rt.Wish(1, CLAIM))
+    (tell,) = made.handle(rt.BoxTold(1, became, "", since, boot))
+    assert isinstance(tell, rt.Tell) and tell.verdict is verdict
+    assert (tell.instead_of == CLAIM) is (verdict is rt.Verdict.OPEN)
+
+
+def test_a_hint_settles_nothing() -> None:
+    made = routes(gone=True, successor="d0")
+    events: tuple[rt.Event, ...] = (
+        rt.BoxTold(0, "ended", "", 0, "b0#1"),
+        rt.BoxSilent(1, True),
+        rt.BoxSilent(2),
+    )
+    for number, event in enumerate(events):
+        made.handle(rt.Wish(number, CLAIM, hint=True))
+        (tell,) = made.handle(event)
+        assert isinstance(tell, rt.Tell)
+        assert tell.verdict is rt.Verdict.OPEN and tell.instead_of is None
+
+
+def test_a_box_that_is_gone_settles_that_it_may_have_run() -> None:
+    made = routes(gone=True, successor="d0")
+    made.handle(rt.Wish(1, CLAIM))
+    (tell,) = made.handle(rt.BoxSilent(1, gone=True))
+    assert isinstance(tell, rt.Tell) and tell.verdict is rt.Verdict.FAILED
+
+
+def test_requests_on_their_way_are_bounded_and_forgotten_with_their_viewers() -> None:
+    made = routes()
+    for number in range(rt.MOST + 5):
+        made.handle(rt.Wish(number, CLAIM))
+    assert len(made) == rt.MOST
+    for number in range(rt.MOST):
+        made.handle(rt.Left(number))
+    assert len(made) == 0
