A changed number of directors claims safely; cuts from boxes end no session

Need: two directors that count the fleet differently must not both claim; a director cut from a box ended its sessions there after two seconds and, healed, released them under their viewers.

Change: claims may name the former holders too, then more than half of both groups is needed (settings: former). Where directors take over, a silent box that the list names has its grace before its sessions are lost here.

--- a/foxlift/accord/register.py
+++ b/foxlift/accord/register.py
@@ -9,13 +9,19 @@
     any         two holders can't be had, or the deadline (none)      Unreached
 
 `expected` is what the register must hold for the new value to be put in: None for an empty one. Whatever
-else it holds is written again and told: then it is decided, and not just perhaps. After Unreached the new
-value may still become the decided one, by another's hand: whoever gave up must ask again to know either way.
+else it holds is written again and told: then it is decided, and not just perhaps.
+
+While the number of directors changes, `former` holders count too: then more than half of both are needed, so
+that whoever knows only the former ones, or only the present ones, has one in common with this claimant.
+
+After Unreached the new value may still become the decided one, by another's hand: whoever gave up must ask
+again to know either way.
 """
 
 from __future__ import annotations
 
 import random
+from collections.abc import Set
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -38,6 +44,12 @@
     expires: int
     within_ms: float
     expected: str | None = None
+    former: tuple[str, ...] = ()
+
+    @property
+    def asked(self) -> tuple[str, ...]:
+        """Every holder, once."""
+        return tuple(dict.fromkeys(self.holders + self.former))
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,14 +186,15 @@
 
     def _ask_all(self, number: int, change: _Change, message: Ask) -> list[Action]:
         actions: list[Action] = []
-        for holder in change.asked.holders:
+        for holder in change.asked.asked:
             self._last += 1
             self._asks[self._last] = number, change.turn, holder
             actions.append(Send(holder, self._last, message))
         return actions
 
-    def _majority(self, change: _Change, count: int) -> bool:
-        return 2 * count > len(change.asked.holders)
+    def _majority(self, change: _Change, names: Set[str]) -> bool:
+        groups = (change.asked.holders, change.asked.former)
+        return all(2 * len(names & set(group)) > len(group) for group in groups if group)
 
     def _of(self, ask: int) -> tuple[int, str, _Change | None]:
         """The change that still waits for this answer."""
@@ -197,11 +210,11 @@
             return []
         if isinstance(message, Promise) and change.state is _State.PREPARES:
             change.promises[holder] = message
-            if self._majority(change, len(change.promises)):
+            if self._majority(change, change.promises.keys()):
                 return self._write(number, change)
         elif isinstance(message, Taken) and change.state is _State.WRITES:
             change.took.add(holder)
-            if self._majority(change, len(change.took)):
+            if self._majority(change, change.took):
                 self._end(number)
                 return [Decided(number, change.value)]
         elif isinstance(message, Reject):
@@ -236,7 +249,7 @@
     def _without(self, number: int, change: _Change, holder: str) -> list[Action]:
         """A holder can't be had; with too many of them there is no use in waiting for the deadline."""
         change.failed.add(holder)
-        left = len(change.asked.holders) - len(change.failed)
+        left = set(change.asked.asked) - change.failed
         return [] if self._majority(change, left) else self._give_up(number)
 
     def _give_up(self, number: int) -> list[Action]:
--- a/foxlift/config/settings.py
+++ b/foxlift/config/settings.py
@@ -193,6 +193,8 @@
     grace_ms: Annotated[float, Meta(ge=0, le=3_600_000)] = 60_000.0  # asked of boxes, see the protocol
     longest_token_s: Annotated[int, Meta(ge=1, le=31_536_000)] = 86_400
     clocks_apart_ms: Annotated[int, Meta(ge=0, le=600_000)] = 10_000  # of directors and boxes, at most
+    # names of all directors before their number changed, to be kept so long as a token lives: see the page
+    former: Annotated[tuple[Name, ...], Meta(max_length=1000)] = ()
     trust_disk: bool = False  # the operator's word that the state folder is the last run's
 
     def __post_init__(self) -> None:
@@ -231,6 +233,10 @@
             raise ValueError(f"zone {self.zone} is not one of the fleet's zones")
         if any(peer.name == self.name for peer in self.peers.others):
             raise ValueError(f"peers: {self.name} is this director itself")
+        named = {peer.name for peer in self.peers.others} | {self.name}
+        if unknown := sorted(set(self.peers.former) - named):
+            # a holder that cannot be asked counts as silent: one of three may be, two not
+            raise ValueError(f"peers: former {unknown[0]} is none of the others: keep it there meanwhile")
 
 
 def load_director(path: Path) -> DirectorConfig:
--- a/foxlift/director/core.py
+++ b/foxlift/director/core.py
@@ -66,6 +66,7 @@
         self.attempts = at.Attempts(f"{config.name}.{run}")
         self.watch = ListWatch(cached, config.box_list.retry_ms, config.seed)
         self.links: dict[int, ln.Link] = {}
+        self._silent: dict[int, float] = {}  # boxes without word, since when on the module's clock
         self.boxes: dict[int, BoxEntry] = {}
         self.sessions: dict[int, ev.Session] = {}
         self._secret = secret
@@ -514,6 +515,7 @@
         if node not in self.boxes and node in self.links and not self.attempts.at(node):
             self._link(node, ln.Unwanted())
             del self.links[node]
+            self._silent.pop(node, None)
 
     def _link(self, node: int, event: ln.Event) -> None:
         link = self.links.get(node)
@@ -529,6 +531,8 @@
                     self._out.append(ev.StartTimer(delay_ms, ev.LinkTimer(node, ln.RetryDue(turn))))
                 case ln.Await(delay_ms, turn):
                     self._out.append(ev.StartTimer(delay_ms, ev.LinkTimer(node, ln.LossDue(turn))))
+                case ln.AllLost() if self._plays_on(node):
+                    pass
                 case ln.AllLost():
                     if self.attempts.at(node):
                         self._out.append(ev.Say("box silent", node=self._box_name(node)))
@@ -536,10 +540,17 @@
                 case ln.Compare():
                     pass  # hello itself carries what is compared: see _notice
 
+    def _plays_on(self, node: int) -> bool:
+        """Whether a silent box is to be given its grace: its sessions outlive a stream, and so does what is
+        known of them here, as long as the list names it."""
+        since = self._silent.setdefault(node, self._now)
+        return self.config.peers.on and node in self.boxes and self._now - since < self.config.peers.grace_ms
+
     def _notice(self, node: int, notice: object) -> None:
         match notice:
             case Hello(boot, counter, sessions):
                 self._link(node, ln.Greeted())
+                self._silent.pop(node, None)
                 kept = frozenset(sessions)
                 if self.config.peers.on:
                     # what is not of this run was taken over: the answer that said so is late, or was lost
--- a/foxlift/director/peering.py
+++ b/foxlift/director/peering.py
@@ -457,6 +457,7 @@
             peers.claim_ms,
             holders_of(token, self.names),
             before,
+            holders_of(token, peers.former) if peers.former else (),
         )
         self._claims(self.claims.handle(self.timeline.now(), want))
 
--- a/foxlift/recovery/claims.py
+++ b/foxlift/recovery/claims.py
@@ -67,6 +67,7 @@
     within_ms: float
     holders: tuple[str, ...]
     instead_of: Claim | None = None
+    former: tuple[str, ...] = ()  # holders before the number of directors changed
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,6 +147,7 @@
             want.expires,
             want.within_ms,
             asked.expected,
+            want.former,
         )
         return self._came(now, self.registers.handle(now, change))
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import shutil
+import time
 from pathlib import Path
 from typing import Any
 
@@ -401,3 +402,105 @@
         assert not [line for line in many.said("d1", "peer") if line["state"] == "dead"]
 
     run(tmp_path, test)
+
+
+def test_cut_from_boxes_and_not_from_peers_its_sessions_play_on_and_stay_its_own(tmp_path: Path) -> None:
+    async def test(many: Many) -> None:
+        shown = {}
+        for klass in ("graded", "briefing"):
+            token = many.token(klass, klass)
+            shown[token] = await many.manifest("d0", token)
+        for tap in box_links(many, "d0"):
+            tap.change(LOST, LOST)
+        # as long as it takes to believe a box silent, and some more: other directors serve meanwhile
+        for k in range(8):
+            assert (await many.until_shown("d1", many.token(f"x{k}"))).status == 200
+            await asyncio.sleep(0.4)
+        assert len(many.sessions()) == 10
+        for tap in box_links(many, "d0"):
+            tap.mend()
+        for token, first in shown.items():
+            again = await many.until_shown("d0", token)
+            assert again.status == 200 and base_of(again)[1] == base_of(first)[1]
+        port, base = base_of(first)
+        assert (await ask(port, f"{base}vod/lo/1.m4s")).status == 200
+        assert many.set_ups("graded") == 1 and many.set_ups("briefing") == 1
+        assert len(many.sessions()) == 10
+
+    run(tmp_path, test)
+
+
+def test_cut_one_way_only_it_is_reached_through_others_and_keeps_its_sessions(tmp_path: Path) -> None:
+    async def test(many: Many) -> None:
+        token = many.token("a")
+        first = await many.manifest("d0", token)
+        many.cut("d1", "d0", both=False)  # what d1 sends to d0 is lost; d0 still asks d1
+        for k in range(10):
+            assert (await many.until_shown("d2", many.token(f"x{k}"))).status == 200
+        again = await many.until_shown("d2", token)
+        assert again.status == 200 and base_of(again)[1] == base_of(first)[1]
+        assert [o.term for s, o in many.owned().items() if s in base_of(first)[1]] == [1]
+        assert many.set_ups("a") == 1
+
+    run(tmp_path, test)
+
+
+def test_the_new_owner_steers_a_rung_change_that_was_under_way(tmp_path: Path) -> None:
+    async def test(many: Many) -> None:
+        token = many.token("a")
+        await many.manifest("d0", token)
+        (box,) = [box for box in many.fleet.boxes.values() if box.model.sessions]
+        (session,) = box.model.sessions.values()
+        before = session.rung
+        for tap in box_links(many, "d0"):
+            tap.change(HELD, None)  # the old owner's order never arrives
+        many.fleet.command("weaken", box.model.name, 0.0005)
+        await many.until(lambda: b"/rung" in kept(many, "d0"))
+        await many.kill("d0")
+        await many.until(lambda: {o.name for o in many.owned().values()} <= {"d1", "d2"})
+        await many.until(lambda: session.rung < before)
+        assert many.set_ups("a") == 1 and len(many.sessions()) == 1
+
+    run(tmp_path, test)
+
+
+def test_a_session_whose_token_expired_meanwhile_goes_on_by_its_reload(tmp_path: Path) -> None:
+    async def test(many: Many) -> None:
+        expires = int(time.time()) + 3
+        token = many.token("a", expires=expires)
+        first = await many.manifest("d0", token)
+        ((set_up, owned),) = many.owned().items()
+        (box,) = [name for name, found in many.fleet.boxes.items() if set_up in found.model.sessions]
+        target = f"/dash/t1/manifest.mpd?token={token}&at=d0/{owned.run}/{box}/{set_up}"
+        await many.kill("d0")
+        await many.until(lambda: {o.name for o in many.owned().values()} <= {"d1", "d2"})
+        await many.until(lambda: time.time() > expires + 2.5)  # past its leeway too
+        for name in ("d1", "d2"):
+            again = await many.manifest(name, token, target)
+            assert again.status == 200, again
+            assert base_of(again)[1] == base_of(first)[1]
+        assert (await many.manifest("d1", many.token("b", expires=int(time.time()) - 60))).status == 403
+
+    run(tmp_path, test)
+
+
+def test_seven_in_ten_killed_at_once_the_rest_take_over_what_the_boxes_hear_no_more(tmp_path: Path) -> None:
+    async def test(many: Many) -> None:
+        tokens = {many.token(f"{name}-{k}"): name for name in many.fronts for k in range(3)}
+        shown = {token: await many.manifest(name, token) for token, name in tokens.items()}
+        dead = [f"d{k}" for k in range(7)]
+        await many.kill(*dead)
+        await many.until(lambda: {o.name for o in many.owned().values()} <= {"d7", "d8", "d9"}, 90.0)
+        assert len(many.sessions()) == 30
+        # no register of theirs has two holders any more, so that only the owner itself can show a paid one
+        found = 0
+        for token in tokens:
+            for name in ("d7", "d8", "d9"):
+                reply = await many.manifest(name, token)
+                if reply.status == 200:
+                    assert base_of(reply)[1] == base_of(shown[token])[1]
+                    found += 1
+                    break
+        assert found == 30 and all(many.set_ups(f"d{k}-0") == 1 for k in range(10))
+
+    run(tmp_path, test, directors=10)
