--- a/foxlift/boxes/notices.py
+++ b/foxlift/boxes/notices.py
@@ -18,12 +18,24 @@
     """A stream that cannot be read on."""
 
 
+class EndedThere(msgspec.Struct, frozen=True, tag="ended"):
+    """A session is over at the box: its viewer had all of it, left, or it was broken off; `at` as above."""
+
+    session: str
+    how: str = "done"
+    at: int = 0
+
+
 class Hello(msgspec.Struct, frozen=True, tag="hello"):
-    """The stream begins. `counter` is the number of set-ups the box had done by then."""
+    """The stream begins. `counter` is the number of set-ups the box had done by then.
+
+    `ended`: ends of late, told before and perhaps never heard; the latest few.
+    """
 
     boot: str
     counter: int
     sessions: tuple[str, ...] = ()
+    ended: tuple[EndedThere, ...] = ()
 
 
 class Delivered(msgspec.Struct, frozen=True, tag="delivered"):
@@ -49,14 +61,6 @@
     at: int = 0
 
 
-class EndedThere(msgspec.Struct, frozen=True, tag="ended"):
-    """A session is over at the box: its viewer had all of it, left, or it was broken off; `at` as above."""
-
-    session: str
-    how: str = "done"
-    at: int = 0
-
-
 class TakenThere(msgspec.Struct, frozen=True, tag="taken"):
     """Sessions of this director that another one owns now, since when by the box's clock (Unix ms)."""
 
--- a/foxlift/boxes/takeover.py
+++ b/foxlift/boxes/takeover.py
@@ -50,7 +50,7 @@
 
 
 class GoneThere(msgspec.Struct, frozen=True, rename="kebab"):
-    """A session that was taken from the asker, since `at`, by `by`."""
+    """A session that was taken from the asker, since `at`, by `by`; empty: that ended then."""
 
     set_up: str
     at: int
--- a/foxlift/director/core.py
+++ b/foxlift/director/core.py
@@ -548,8 +548,11 @@
 
     def _notice(self, node: int, notice: object) -> None:
         match notice:
-            case Hello(boot, counter, sessions):
+            case Hello(boot, counter, sessions, ended):
                 self._link(node, ln.Greeted())
+                for end in ended:
+                    if self.attempts.own(end.session) is not None:
+                        self._notice(node, end)
                 self._silent.pop(node, None)
                 kept = frozenset(sessions)
                 if self.config.peers.on:
--- a/foxlift/director/peerhost.py
+++ b/foxlift/director/peerhost.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from foxlift.boxes.notices import TakenThere
+from foxlift.boxes.notices import EndedThere, TakenThere
 from foxlift.boxes.takeover import (
     BOOT,
     HeldThere,
@@ -208,7 +208,8 @@
             return
         self.heard_boot(node, answer.boot)
         for gone in answer.gone:
-            daemon.feed(ev.Notice(node, TakenThere((gone.set_up,), gone.by, gone.at)))
+            notice = TakenThere((gone.set_up,), gone.by, gone.at) if gone.by else None
+            daemon.feed(ev.Notice(node, notice or EndedThere(gone.set_up, "done", gone.at)))
             left = daemon.journal.book.account.open.get(gone.set_up)
             if left is not None and left.began <= gone.at:
                 daemon.journal.handle(int(daemon.timeline.now()), Ended(gone.at, gone.set_up))
--- a/foxlift/recovery/route.py
+++ b/foxlift/recovery/route.py
@@ -29,8 +29,8 @@
 from foxlift.recovery.claims import Claim
 
 MOST = 10_000  # requests that are on their way at once
-BACK_LEAST_MS = 300.0
-BACK_MOST_MS = 1500.0
+BACK_LEAST_MS = 150.0
+BACK_MOST_MS = 750.0
 
 
 class Verdict(Enum):
--- a/foxlift/standins/box.py
+++ b/foxlift/standins/box.py
@@ -28,6 +28,7 @@
 from foxlift.standins.owners import Owners
 
 TICK_S = 0.1
+MOST_ENDS = 200  # of one director's sessions, kept for its next stream or run
 PIECE_S = 0.25  # of its session's rate is sent at a time: what is small leaves whole, as from any shaper
 PIECE_BYTES = 32_768
 
@@ -76,6 +77,7 @@
         self.takes_refused = 0  # since their owner was still heard from
         self.set_ups_by_claim: dict[str, int] = {}
         self._server: Server | None = None
+        self._ends: dict[str, dict[str, EndedThere]] = {}  # by director: ends of late, perhaps not heard
         self._streams: dict[str, tuple[str, StreamOut]] = {}  # by director: its run and stream
         self._stream_lost: dict[str, float] = {}
         self._report: tuple[float, float] = (-1e9, 0.0)
@@ -90,6 +92,7 @@
         """Begin to serve as a new process of the same name."""
         self.model.start(self.loop.time(), cold)
         self.owners = Owners()
+        self._ends.clear()
         self.hanging, self.lose_answers, self.answer_slowly = False, 0.0, False
         self._server = Server(self.loop, self._asked, Limits(idle_time_ms=30_000.0), self._cors)
         self.port = await self._server.listen("127.0.0.1", port or self.port)
@@ -356,7 +359,9 @@
             and order.only in (None, set_up)
         ]
         only, owner = owners.became(order.only, order.by) if order.only else ("", "")
-        gone = owners.lost.get(order.by, {}) if order.of == order.by else {}
+        own = order.of == order.by
+        gone = {**owners.lost.get(order.by, {})} if own else {}
+        gone |= {e.session: (e.at, "") for e in self._ends.get(order.by, {}).values()} if own else {}
         answer = TakeAnswer(
             model.boot,
             model.counter,
@@ -490,7 +495,8 @@
                 or self.owners.may_command(s.set_up, director, keep)
             )
         )
-        stream.write(encode_notice(Hello(self.model.boot, self.model.counter, held)))
+        ends = tuple(self._ends.get(director, {}).values()) if keep else ()
+        stream.write(encode_notice(Hello(self.model.boot, self.model.counter, held, ends)))
 
     def _notices_gone(self, director: str, stream: StreamOut) -> None:
         if director in self._streams and self._streams[director][1] is stream:
@@ -515,7 +521,11 @@
                     model.parked[set_up] = (session, now + self.park_s)
             elif orphan:
                 del model.sessions[set_up]  # nobody has come for it in all its grace
-                self.owners.over(set_up, unix_ms())
+                if set_up in self.owners.sessions:
+                    self.owners.over(set_up, unix_ms())
+                    seen_ms = unix_ms() - int((now - session.last_seen) * 1000)
+                    ended = EndedThere(set_up, "left", max(seen_ms, session.told_ms))
+                    self._keep_end(session.director, ended)
         if now - self._delivered_at >= 1.0:
             self._delivered_at = now
             self._tell_delivered()
@@ -536,9 +546,19 @@
         # it ended when it was last sent something, not when that was noticed
         idle_ms = int((self.loop.time() - session.last_seen) * 1000)
         ended_ms = max(unix_ms() - idle_ms, session.told_ms)  # two clocks: never before what was told
+        owned = session.set_up in self.owners.sessions
         if how != "parked":
             self.owners.over(session.set_up, unix_ms())
-        self._tell(session.director, EndedThere(session.set_up, how, ended_ms))
+        notice = EndedThere(session.set_up, how, ended_ms)
+        if owned and how != "parked":
+            self._keep_end(session.director, notice)
+        self._tell(session.director, notice)
+
+    def _keep_end(self, director: str, notice: EndedThere) -> None:
+        kept = self._ends.setdefault(director, {})
+        kept[notice.session] = notice
+        while len(kept) > MOST_ENDS:
+            del kept[next(iter(kept))]
 
     def _one_each(self) -> dict[str, str]:
         return {session.director: session.set_up for session in self.model.sessions.values()}
--- a/foxlift/standins/player.py
+++ b/foxlift/standins/player.py
@@ -223,6 +223,8 @@
             return read_mpd(body), None
         self.watching.gave_up = str(status)
         if status in (503, 429):
+            if self._faithful:
+                self.director = (self.director + 1) % len(self.ports)
             return None, _come_back_s(headers)
         if status in (502, 504) and not self.viewer.paid:
             return None, 0.5 + self._pick()
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -87,7 +87,8 @@
         self.waiting: set[int] = set()
         self.answered: set[int] = set()
         self.spent: set[str] = set()
-        self.adopted_parked: set[str] = set()  # taken up again by whoever asks: no set-up, so nothing is spent
+        # taken up again by whoever asks: no set-up, so nothing is spent
+        self.adopted_parked: set[str] = set()
 
     def take(self, actions: list[cl.Action], token: str = "") -> None:
         for action in actions:
--- /dev/null
+++ b/tests/zones_world.py
@@ -0,0 +1,209 @@
+"""Directors in zones, a group of makers, and what they say to each other, in virtual time with faults."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from foxlift.accord import Holder, Record, Registers
+from foxlift.accord import holder as hd
+from foxlift.accord import register as rg
+from foxlift.zones import common as cm
+from foxlift.zones.evidence import Evidence, Report, Sight
+from foxlift.zones.plan import Plan, Planner, State, read_plan, write_plan
+
+ZONES = {"n1": "north", "n2": "north", "s1": "south", "s2": "south", "w1": "west", "w2": "west"}
+GIVES, DEMAND = 1000.0, 500.0  # of a zone, kB/s
+
+
+@dataclass
+class Fleet:
+    """`each` directors a zone; the makers are the first ones of some zones."""
+
+    seed: int
+    each: int = 2
+    zones: dict[str, str] = field(default_factory=lambda: dict(ZONES))
+    makers_in: tuple[str, ...] = ("n1", "n2", "s1", "s2", "w1")
+    loss: float = 0.02
+    make_registers: type[Registers] = Registers
+    make_common: type[cm.Common] = cm.Common
+    now: float = 0.0
+    dead_zones: set[str] = field(default_factory=set)
+    weak: dict[str, float] = field(default_factory=dict)  # zones and what they deliver
+    cut: set[tuple[str, str]] = field(default_factory=set)  # zones, from and to
+    load: float = 1.0
+    up: set[str] = field(default_factory=set)
+    followed: dict[str, Plan] = field(default_factory=dict)
+    by_number: dict[int, set[str]] = field(default_factory=dict)
+    changes: list[tuple[float, str, Plan]] = field(default_factory=list)
+    messages: int = 0
+
+    def __post_init__(self) -> None:
+        self.random = random.Random(self.seed)
+        self.zone_of = {f"{zone}-{k}": zone for zone in self.zones for k in range(self.each)}
+        self.names = list(self.zone_of)
+        self.makers = tuple(f"{zone}-0" for zone in self.makers_in)
+        self.disks: dict[str, dict[str, Record]] = {maker: {} for maker in self.makers}
+        self.holders: dict[str, Holder] = {}
+        self.runs = dict.fromkeys(self.names, 0)
+        self.members: dict[str, cm.Common] = {}
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = 0
+        for name in self.names:
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        self.runs[name] += 1
+        self.up.add(name)
+        registers = self.make_registers(f"{name}.{self.runs[name]}", self.seed)
+        planner, evidence = Planner(dict(self.zones)), Evidence(tuple(self.zones))
+        made = self.make_common(name, self.makers, planner, evidence, registers, self.seed)
+        self.members[name] = made
+        if name in self.makers:
+            self.holders[name] = Holder(cm.LASTS_MS, 1000, 0, dict(self.disks[name]))
+        self.followed[name] = Plan()
+        self.do(name, made, made.start(self.now))
+        self.report(name, made)
+
+    def kill(self, name: str) -> None:
+        self.up.discard(name)
+
+    # ---- Time and messages --------------------------------------------------------------------------------
+    def later(self, delay: float, then: Callable[[], None]) -> None:
+        self._order += 1
+        heapq.heappush(self._queue, (self.now + delay, self._order, then))
+
+    def run(self, ms: float, until: Callable[[], bool] | None = None) -> float:
+        end = self.now + ms
+        while self._queue and self._queue[0][0] <= end:
+            self.now, _, then = heapq.heappop(self._queue)
+            then()
+            if until is not None and until():
+                return self.now
+        self.now = end
+        return end
+
+    def reaches(self, a: str, b: str) -> bool:
+        za, zb = self.zone_of[a], self.zone_of[b]
+        return (za, zb) not in self.cut and self.random.random() >= self.loss
+
+    def send(self, a: str, b: str, then: Callable[[], None]) -> None:
+        self.messages += 1
+        if a == b:
+            self.later(0.1, then)
+        elif self.reaches(a, b):
+            self.later(self.random.choice((1.0, 3.0, 3.0, 20.0)), lambda: then() if b in self.up else None)
+            if self.random.random() < 0.02:
+                self.later(900.0, lambda: then() if b in self.up else None)  # once more, late
+
+    def tell(self, name: str, member: cm.Common, event: cm.Event) -> None:
+        if self.members[name] is member and name in self.up:
+            self.do(name, member, member.handle(self.now, event))
+
+    def do(self, name: str, member: cm.Common, actions: list[cm.Action]) -> None:
+        for action in actions:
+            match action:
+                case cm.StartTimer(delay, event):
+                    self.later(delay, lambda e=event: self.tell(name, member, e))  # type: ignore[misc]
+                case cm.Tell(to, plan, made):
+                    told = cm.Told(plan, made)
+                    self.send(name, to, lambda t=to, e=told: self.tell(t, self.members[t], e))  # type: ignore[misc]
+                case cm.Follow(plan):
+                    self.followed[name] = plan
+                    self.changes.append((self.now, name, plan))
+                    if not member.fallen_back:
+                        self.by_number.setdefault(plan.number, set()).add(write_plan(plan))
+                case rg.Send():
+                    self.send(name, action.to, lambda s=action: self.asked(name, member, s))  # type: ignore[misc]
+                case rg.StartTimer(delay, event):
+                    inner = cm.OfRegister(event)
+                    self.later(delay, lambda e=inner: self.tell(name, member, e))  # type: ignore[misc]
+
+    def asked(self, name: str, member: cm.Common, send: rg.Send) -> None:
+        holder = self.holders[send.to]
+        self._order += 1
+        for action in holder.handle(self.now, hd.Asked(self._order, send.message)):
+            self.holder_does(name, member, send, holder, action)
+
+    def holder_does(
+        self, name: str, member: cm.Common, send: rg.Send, holder: Holder, action: hd.Action
+    ) -> None:
+        match action:
+            case hd.Store(request, record):
+
+                def lasts() -> None:
+                    if self.holders[send.to] is not holder or send.to not in self.up:
+                        return
+                    self.disks[send.to][record.key] = record
+                    for more in holder.handle(self.now, hd.Stored(request)):
+                        self.holder_does(name, member, send, holder, more)
+
+                self.later(2.0, lasts)
+            case hd.Reply(_, message):
+                event = cm.OfRegister(rg.Answered(send.ask, message))
+                self.send(send.to, name, lambda: self.tell(name, member, event))
+
+    # ---- What directors see -------------------------------------------------------------------------------
+    def sight(self, name: str, zone: str) -> Sight:
+        home = self.zone_of[name]
+        unreached = (home, zone) in self.cut or zone in self.dead_zones
+        delivered = self.weak.get(zone, 1.0)
+        demand = DEMAND * self.load / self.each if home == zone else 0.0
+        silent = 4 if unreached else 0
+        return Sight(4, 0, silent, 0, delivered, GIVES, DEMAND * self.load, demand)
+
+    def report(self, name: str, member: cm.Common) -> None:
+        """Every second to all makers that can be reached; a stand-in for what wiring will do."""
+        if self.members[name] is not member or name not in self.up:
+            return
+        there = frozenset(
+            other
+            for other in self.up
+            if other == name or (self.zone_of[name], self.zone_of[other]) not in self.cut
+        )
+        self.tell(name, member, cm.There(there))
+        heard = len(there) / len(self.names)
+        sights = {zone: self.sight(name, zone) for zone in self.zones}
+        for maker in self.makers:
+            made = Report(name, self.runs[name], self.zone_of[name], self.now, 0.0, heard, sights)
+            heard_event = cm.Heard(made)
+            self.send(name, maker, lambda m=maker, e=heard_event: self.tell(m, self.members[m], e))  # type: ignore[misc]
+        self.later(1000.0, lambda: self.report(name, member))
+
+    def all_follow(self, zone: str, state: object, without: set[str] | None = None) -> bool:
+        left = [n for n in self.up if self.zone_of[n] not in (without or set())]
+        return all(self.followed[name].of(zone).state is state for name in left)
+
+
+def anything(seed: int, **more: type) -> Fleet:
+    """Three zones of one director each, all makers: loss, cuts, deaths, restarts, zones lost and back."""
+    chance = random.Random(f"zones {seed}")
+    zones = {"a": "x", "b": "y", "c": "z"}
+    fleet = Fleet(seed, each=1, zones=zones, makers_in=("a", "b", "c"), loss=0.1, **more)  # type: ignore[arg-type]
+    for _ in range(8):
+        what = chance.randrange(5)
+        zone, other = chance.choice("abc"), chance.choice("abc")
+        name = chance.choice(fleet.names)
+        if what == 0:
+            fleet.dead_zones ^= {zone}
+        elif what == 1 and zone != other:
+            fleet.cut ^= {(zone, other)}
+        elif what == 2 and name in fleet.up:
+            fleet.kill(name)
+        elif what == 2:
+            fleet.start(name)
+        elif what == 3:
+            fleet.cut = set()
+        fleet.run(chance.choice((300.0, 900.0, 1700.0)))
+    return fleet
+
+
+def broken(fleet: Fleet) -> bool:
+    """Whether two plans had one number, or a plan emptied every zone."""
+    for texts in fleet.by_number.values():
+        plan = read_plan(next(iter(texts)))
+        if len(texts) > 1 or plan is None or all(plan.of(z).state is State.EMPTIED for z in fleet.zones):
+            return True
+    return False
