The module takes a plan's shares by zone as one event; without it nothing changes

Need: what directors decide in common must reach the module, which decides still.

Change: ZoneShares, a share for each zone: a session's zone is drawn by them from director and session number, holders there come first, those where the plan sends nobody last, least work within each under the same marks. No event, or an empty one: the same key as before. Boxes tell a fenced run which run is over, so that a director without its disk and with its clock set back finds one above; what a renewed run had ordered at its boxes meanwhile is ordered again.

--- a/foxlift/boxes/takeover.py
+++ b/foxlift/boxes/takeover.py
@@ -10,6 +10,7 @@
 from foxlift.boxes.resource import Id
 
 OWNER = "foxlift-owner"  # header of a director's commands: name/run
+FENCE = "foxlift-fence"  # header of a box's refusal: the run up to which the asker's are over
 BOOT = "foxlift-boot"  # header of a box's refusal: its process
 MOST_NOTE = 1000
 MOST_TAKEN = 200  # sessions handed over by one answer
--- a/foxlift/director/core.py
+++ b/foxlift/director/core.py
@@ -262,10 +262,20 @@
 
     def _adopted(self, event: ev.Adopted) -> None:
         for one in event.sessions:
-            if not self.attempts.knows(one.set_up) and one.token.klass in self._classes:
+            if self.attempts.knows(one.set_up):
+                self._confirm(event.node, one)
+            elif one.token.klass in self._classes:
                 self._adopt(event, one)
         self._link_perhaps_unwanted(event.node)
 
+    def _confirm(self, node: int, one: ev.Adoptee) -> None:
+        """A session of this director under its new run: what was ordered meanwhile was refused."""
+        own = self.attempts.own(one.set_up)
+        session = self.sessions.get(own[0]) if own is not None else None
+        if session is not None and not one.until and session.rung != one.rung:
+            booked = self.booked(session, session.rung)
+            self._out.append(ev.ChangeRung(one.set_up, node, session.rung, booked))
+
     def _adopt(self, event: ev.Adopted, one: ev.Adoptee) -> None:
         """Go on with a session where its last owner left it; its box says since when."""
         token = one.token
--- a/foxlift/director/peerhost.py
+++ b/foxlift/director/peerhost.py
@@ -251,7 +251,7 @@
         if not isinstance(found, Answer) or found.header("foxlift-refusal") not in ("not-owner", "fenced"):
             return False
         if found.header("foxlift-refusal") == "fenced":
-            self.peering.renew()
+            self.peering.renew(found)
             return False
         name = (found.header("foxlift-owner") or "").partition("/")[0]
         if name == self.daemon.config.name:
--- a/foxlift/director/peering.py
+++ b/foxlift/director/peering.py
@@ -29,7 +29,7 @@
 from foxlift.accord import Holder, Registers, Reject, holders_of
 from foxlift.accord import holder as hd
 from foxlift.accord import register as rg
-from foxlift.boxes.takeover import TakeAnswer, TakeOrder, read_take_answer
+from foxlift.boxes.takeover import FENCE, TakeAnswer, TakeOrder, read_take_answer
 from foxlift.config import DirectorConfig
 from foxlift.decide.claims import Why
 from foxlift.director import events as ev
@@ -404,6 +404,9 @@
                     there = tuple(self.view.there())
                     seen = tk.Seen(name, state, run, there)
                     self._take(self.takeovers.handle(self.timeline.now(), seen))
+                case pv.Superseded(run) if not self.standing.vouches:
+                    # just begun, no disk and a clock set back: the run that they know is its own last
+                    self.renew(above=run)
                 case pv.Superseded(run):
                     self.log.error("another process has this director's name", run=run)
                     self.host.superseded()
@@ -681,7 +684,7 @@
                 alive = found.header("foxlift-refusal") == "alive"
                 why = tk.Why.ALIVE if alive else tk.Why.FENCED
                 if not alive and run == self.run:
-                    self.renew()
+                    self.renew(found)
             self._not_taken(taking, why)
 
         if not self.host.take(taking.box, order, done):
@@ -702,8 +705,11 @@
             self._route(self.routes.handle(rt.BoxSilent(taking.request, gone)))
 
     # ---- Fenced -------------------------------------------------------------------------------------------
-    def renew(self) -> None:
+    def renew(self, told: Answer | Failure | None = None, above: int = 0) -> None:
         """A box says that this run is over there: go on in another, and keep what the boxes still leave."""
+        fence = told.header(FENCE) if isinstance(told, Answer) else None
+        if fence is not None and fence.isdigit() and len(fence) < 17:
+            above = max(above, int(fence))
         now = self.timeline.now()
         if self._renewing or self.closed or now - self._renewed_at < RENEW_EVERY_MS:
             return
@@ -720,4 +726,4 @@
             self._see(self.view.handle(self.timeline.now(), pv.Renew(self.run)))
             self._takeover(tk.Started(self.run))
 
-        self.book.renew(int(now), lasts)
+        self.book.renew(max(int(now), above + 1), lasts)
--- a/foxlift/interface.py
+++ b/foxlift/interface.py
@@ -252,7 +252,17 @@
     load: Load | None = None
 
 
-Event = NodeList | Ask | Resumed | Started | Ended | Note | Withdrawn | Wake | Probed
+@dataclass(frozen=True, slots=True)
+class ZoneShares:
+    """Where this director's viewers go by the plan in force: a share for each zone of the settings.
+
+    Empty: there is no plan, and every decision is as if there had never been one.
+    """
+
+    shares: tuple[float, ...] = ()
+
+
+Event = NodeList | Ask | Resumed | Started | Ended | Note | Withdrawn | Wake | Probed | ZoneShares
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -175,6 +175,7 @@
         self.news = 1
         self.beating = False  # whether a timer for held requests is out
         self.ask_list_at = -math.inf if settings.list_by_ask else math.inf  # when to ask for the node list
+        self.shares: tuple[float, ...] = ()  # by zone, of the plan in force; empty: there is none
         self.now = 0.0
         self.out: list[fl.Action] = []
         self.handlers: dict[type, Callable[[Any], None]] = {
@@ -187,6 +188,7 @@
             fl.Withdrawn: self._withdrawn,
             fl.Wake: self._beat,
             fl.Probed: lambda event: self._heard(self.nodes.get(event.node), event.load),
+            fl.ZoneShares: self._planned,
         }
 
     def handle(self, now: float, event: fl.Event) -> list[fl.Action]:
@@ -352,7 +354,29 @@
             new = dear and not node.sessions  # a connection to it would have to be opened
             return once and node.suspensions > 0, new, self._work(node), crosses, _mix(tie, node.info.node)
 
-        return sorted(usable, key=order)
+        if not self.shares:
+            return sorted(usable, key=order)
+        picked = self._planned_zone(ask.session)
+        return sorted(usable, key=lambda node: (self._plan_rank(node.info.zone, picked), *order(node)))
+
+    # ---- Zones --------------------------------------------------------------------------------------------
+    def _planned(self, event: fl.ZoneShares) -> None:
+        sane = all(0 <= share < math.inf for share in event.shares) and sum(event.shares) > 0
+        self.shares = event.shares if sane else ()
+
+    def _planned_zone(self, session: int) -> int:
+        """The zone that this session's part of the plan falls to, the same each time it is placed."""
+        part = _mix(self.settings.director, session, 1) / 2**64 * sum(self.shares)
+        for zone, share in enumerate(self.shares):
+            part -= share
+            if part < 0:
+                return zone
+        return max(range(len(self.shares)), key=self.shares.__getitem__)
+
+    def _plan_rank(self, zone: int, picked: int) -> int:
+        """Where the plan sends nobody comes last: rather there than refused."""
+        share = self.shares[zone] if zone < len(self.shares) else 0.0
+        return 0 if zone == picked else 1 if share > 0 else 2
 
     # ---- Rung ---------------------------------------------------------------------------------------------
     def _class(self, ask: fl.Ask) -> fl.SessionClass:
--- a/foxlift/peers/view.py
+++ b/foxlift/peers/view.py
@@ -254,6 +254,8 @@
     def handle(self, now: float, event: Event) -> list[Action]:
         """Take one event in; `now` in ms on a clock that never steps back."""
         self._now, self._out = now, []
+        if isinstance(event, Renew) and event.run > self.run:
+            self.superseded = False
         if self.superseded:
             return []
         match event:
--- a/foxlift/standins/box.py
+++ b/foxlift/standins/box.py
@@ -21,7 +21,7 @@
     encode_notice,
 )
 from foxlift.boxes.resource import RungOrder, SetUpOrder
-from foxlift.boxes.takeover import BOOT, MOST_TAKEN, OWNER, GoneThere, HeldThere, TakeAnswer, TakeOrder
+from foxlift.boxes.takeover import BOOT, FENCE, MOST_TAKEN, OWNER, GoneThere, HeldThere, TakeAnswer, TakeOrder
 from foxlift.http import Cors, Exchange, Headers, Limits, Request, Server, StreamOut
 from foxlift.standins.media import Filler, Media
 from foxlift.standins.model import BoxModel, BoxSession
@@ -165,7 +165,7 @@
             exchange.reply_problem(400, "malformed set-up", str(error))
             return
         if order.run and self.owners.fenced(order.director, order.run):
-            self._refuse(exchange, "fenced")
+            self._refuse_fenced(exchange, order.director)
             return
         if order.boot and order.boot != model.boot:
             # meant for an earlier process, which may have been asked what became of it
@@ -198,6 +198,12 @@
             self._refuse(exchange, why)
         return why is None
 
+    def _refuse_fenced(self, exchange: Exchange, director: str, status: int = 503) -> None:
+        """This run of the director is over here: which one is over is told, so that its next one is above."""
+        if not exchange.gone:
+            extra = (("foxlift-refusal", "fenced"), (FENCE, str(self.owners.fences.get(director, 0))))
+            exchange.reply_problem(status, "this run is over here", extra=(*extra, *self._load_header()))
+
     def _refuse(self, exchange: Exchange, why: str, status: int = 503) -> None:
         """The box's own word that nothing was done."""
         if not exchange.gone:
@@ -211,7 +217,9 @@
                 exchange.reply_problem(410, "released meanwhile")
             return
         if order.run and self.owners.fenced(order.director, order.run):
-            self._refuse(exchange, "fenced")  # taken over meanwhile: it never ran, and never will
+            self._refuse_fenced(
+                exchange, order.director
+            )  # taken over meanwhile: it never ran, and never will
             return
         director, _, _ = set_up.rpartition("-")[0].rpartition("-")
         model.sessions[set_up] = BoxSession(
@@ -332,7 +340,7 @@
             exchange.reply_problem(400, "malformed takeover", str(error))
             return
         if owners.fenced(order.by, order.run) or (order.of == order.by and order.upto >= order.run):
-            self._refuse(exchange, "fenced", 409)
+            self._refuse_fenced(exchange, order.by, 409)
             return
         if order.of != order.by and (heard := owners.streams.get(order.of, 0)):
             later = 0 < order.upto < heard
@@ -470,7 +478,7 @@
         director, run = query.get("director", ""), query.get("run", "")
         keep = int(query["keep"]) if query.get("keep", "").isdigit() else 0
         if keep and self.owners.fenced(director, keep):
-            self._refuse(exchange, "fenced", 409)
+            self._refuse_fenced(exchange, director, 409)
             return
         old = self._streams.pop(director, None)
         if old is not None:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -504,3 +504,26 @@
         assert found == 30 and all(many.set_ups(f"d{k}-0") == 1 for k in range(10))
 
     run(tmp_path, test, directors=10)
+
+
+def test_without_its_disk_and_with_its_clock_set_back_it_finds_a_run_above_all_others(tmp_path: Path) -> None:
+    async def test(many: Many) -> None:
+        token = many.token("a")
+        first = await many.manifest("d0", token)
+        await many.kill("d0")
+        await many.until(lambda: {o.name for o in many.owned().values()} <= {"d1", "d2"})
+        shutil.rmtree(tmp_path / "state-d0")
+        child = many.directors["d0"]
+        child.arguments = (*child.arguments[:-1], "--clock-ahead-s", "-600", child.arguments[-1])
+        await many.start("d0")
+        await many.until(lambda: len(many.said("d0", "registers vouched for")) == 2)
+        assert vouched(many, "d0")["lost"]
+        again = await many.until_shown("d0", token)
+        assert again.status == 200 and base_of(again)[1] == base_of(first)[1]
+        # new work of its own runs, at boxes that fenced its last run as well
+        shown = [await many.until_shown("d0", many.token(f"x{k}", "briefing")) for k in range(12)]
+        assert {reply.status for reply in shown} == {200}
+        assert len({o.name for o in many.owned().values()} & {"d0"}) == 1
+        assert many.set_ups("a") == 1
+
+    run(tmp_path, test)
