Zones fail over by one plan in foxlift serve; foxlift zone is an operator's hand

Need: when a zone is lost each director found it out for itself, and all acted alike.

Change: where the settings name makers, directors report what they see of zones to them on the peers' listener (boxes met, refused, silent; delivered share; what is asked and given; own demand), the makers agree on numbered plans at their register, plans are told on, and the module hears the shares as ZoneShares. A zone cut off from others but heard to serve well inside stands alone. foxlift zone empty|return|hold|clear.

--- a/foxlift/cli/main.py
+++ b/foxlift/cli/main.py
@@ -1,4 +1,4 @@
-"""`foxlift`: serve, rehearse, try, token, check-config, ledger, standin.
+"""`foxlift`: serve, rehearse, try, token, check-config, zone, ledger, standin.
 
 Exit codes: 0 done (for `rehearse`: and every rule kept), 1 a rule was broken or
 a ledger differs from the sockets, 2 wrong usage, 3 settings or
@@ -18,6 +18,7 @@
 from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any, TypeVar
+from urllib.parse import urlsplit
 
 import click
 import msgspec
@@ -28,6 +29,7 @@
 from foxlift.cli.ledger import ledger
 from foxlift.config import ConfigError, load_director, module_settings
 from foxlift.director.daemon import Daemon
+from foxlift.http import Answer, Failure, Pool, PoolLimits
 from foxlift.ledger import load_tariff
 from foxlift.rehearsal import built_in, load_scenario, print_report, run_day, shrink, with_faults
 from foxlift.rehearsal.processes import ChildError
@@ -280,6 +282,47 @@
         sys.exit(CHILD_FAILED)
 
 
+@main.command()
+@click.argument("order", type=click.Choice(["empty", "return", "hold", "clear"]))
+@click.argument("name")
+@click.option("--at", "url", required=True, help="A director's peers' listener, as http://host:port.")
+def zone(order: str, name: str, url: str) -> None:
+    """Give an order on a zone to the directors, before all evidence.
+
+    empty: its viewers are sent elsewhere, as far as others have room; return: step by step back to near,
+    whatever is reported; hold: as it is; clear: by evidence again. An order that nobody clears is over after
+    a day. Any director takes it and tells the makers of plans.
+
+    \b
+    Example:
+      foxlift zone empty north-1 --at http://10.0.0.4:7000
+    """
+    address = urlsplit(url)
+    if address.scheme != "http" or not address.hostname or not address.port:
+        raise click.BadParameter("is not http://host:port", param_hint="--at")
+    body = json.dumps({"zone": name, "order": None if order == "clear" else order}).encode()
+
+    async def work() -> Answer | Failure:
+        loop = asyncio.get_running_loop()
+        told: asyncio.Future[Answer | Failure] = loop.create_future()
+        pool = Pool(loop, address.hostname or "", address.port or 0, PoolLimits(connect_ms=2000.0))
+        headers = (("content-type", "application/json"),)
+        pool.call("POST", "/peers/order", told.set_result, headers=headers, body=body, timeout_ms=5000.0)
+        try:
+            return await told
+        finally:
+            pool.close()
+
+    found = _run(work())
+    if isinstance(found, Failure):
+        _end(NO_SYSTEM, f"{url}: {found.kind.value}")
+    elif found.status != 204:
+        title = json.loads(found.body or b"{}").get("title", "")
+        _end(BAD_FILES, f"{url}: {found.status} {title}")
+    else:
+        click.echo(f"{name}: {order}; told to {url}")
+
+
 @main.command("try")
 @click.option(
     "--media",
--- a/foxlift/config/settings.py
+++ b/foxlift/config/settings.py
@@ -197,6 +197,9 @@
     former: Annotated[tuple[Name, ...], Meta(max_length=1000)] = ()
     holders: Literal[1, 3, 5, 7, 9] = 5  # of a paid token's register; more than half are needed
     former_holders: Literal[0, 1, 3, 5, 7, 9] = 0  # before that number changed; 0: it has not
+    # who agrees on plans for zones, spread over regions; the region of each of the fleet's zones
+    makers: Annotated[tuple[Name, ...], Meta(max_length=9)] = ()
+    regions: Annotated[tuple[Name, ...], Meta(max_length=1000)] = ()
     trust_disk: bool = False  # the operator's word that the state folder is the last run's
 
     def __post_init__(self) -> None:
@@ -236,6 +239,12 @@
         if any(peer.name == self.name for peer in self.peers.others):
             raise ValueError(f"peers: {self.name} is this director itself")
         named = {peer.name for peer in self.peers.others} | {self.name}
+        if unknown := sorted(set(self.peers.makers) - named):
+            raise ValueError(f"peers: maker {unknown[0]} is no director that the settings name")
+        if self.peers.makers and len(self.peers.makers) % 2 == 0:
+            raise ValueError("peers: makers are an odd number, so that more than half is few")
+        if self.peers.regions and len(self.peers.regions) != len(self.fleet.zones):
+            raise ValueError("peers: regions names one for each of the fleet's zones")
         if unknown := sorted(set(self.peers.former) - named):
             # a holder that cannot be asked counts as silent: one of three may be, two not
             raise ValueError(f"peers: former {unknown[0]} is none of the others: keep it there meanwhile")
--- a/foxlift/director/core.py
+++ b/foxlift/director/core.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from enum import Enum
 from hashlib import blake2b
 from math import ceil
 
@@ -36,6 +37,21 @@
 )
 from foxlift.store import Verdict
 from foxlift.tokens import SessionToken
+from foxlift.zones.evidence import Sight
+
+SEEN_MS = 5000.0  # how long what was met of a box tells of its zone
+
+
+class Met(Enum):
+    """How a box was met last."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
+LOSSES = {at.Loss.CONNECT: Met.REFUSED, at.Loss.RESET: Met.REFUSED, at.Loss.TIMEOUT: Met.SILENT}
+
 
 ENDED = {
     "done": fl.Outcome.OK,
@@ -66,6 +82,9 @@
         self.attempts = at.Attempts(f"{config.name}.{run}")
         self.watch = ListWatch(cached, config.box_list.retry_ms, config.seed)
         self.links: dict[int, ln.Link] = {}
+        self._mets: dict[int, tuple[Met, float]] = {}  # how boxes were met last, and when
+        self._shares: dict[int, tuple[float, float]] = {}  # delivered share that boxes told, and when
+        self._uses: dict[int, float] = {}  # of links, as boxes told them last
         self._silent: dict[int, float] = {}  # boxes without word, since when on the module's clock
         self.boxes: dict[int, BoxEntry] = {}
         self.sessions: dict[int, ev.Session] = {}
@@ -124,6 +143,8 @@
                 self._attempt(at.Renewed(f"{self.config.name}.{run}"))
             case ev.NotOwner(set_up):
                 self._taken(set_up, 0)
+            case ev.PlanInForce(shares):
+                self._tell(fl.ZoneShares(shares))
             case PollDue() | ListAnswer() | ListFailed():
                 self._list(event)
             case (
@@ -134,9 +155,53 @@
                 | at.Released()
                 | at.ReleaseFailed()
             ):
+                if isinstance(event, at.Answered | at.Lost):
+                    self._met(event)
                 self._attempt(event)
         return self._out
 
+    # ---- What is seen of zones ----------------------------------------------------------------------------
+    def _met(self, event: at.Answered | at.Lost) -> None:
+        """A box has answered, or has not: kept for what this director reports of its zone."""
+        session = self.sessions.get(event.session)
+        if session is None or not self.config.peers.makers:
+            return
+        if isinstance(event, at.Answered):
+            self._mets[session.node] = Met.ANSWERED, self._now
+        elif event.loss in LOSSES:
+            self._mets[session.node] = LOSSES[event.loss], self._now
+
+    def sights(self, now: float) -> dict[str, Sight]:
+        """What this director sees of each zone that it has lately met a box of."""
+        fleet, found = self.config.fleet, dict[str, Sight]()
+        self._mets = {n: met for n, met in self._mets.items() if now - met[1] < SEEN_MS and n in self.boxes}
+        self._shares = {n: s for n, s in self._shares.items() if now - s[1] < SEEN_MS and n in self.boxes}
+        demand = sum(self.rate_kb(session, session.rung) for session in self.sessions.values())
+        for zone in fleet.zones:
+            there = [node for node, box in self.boxes.items() if box.zone == zone]
+            mets = {node: self._mets[node][0] for node in there if node in self._mets}
+            silent = {node for node in there if node in self._silent}
+            heard = {node for node in there if (link := self.links.get(node)) is not None and link.open}
+            known = len(mets.keys() | silent | heard)
+            own = demand if zone == self.config.zone else 0.0
+            if not known and not own:
+                continue
+            gives = sum(fleet.link_kb_per_weight * self.boxes[node].weight for node in there)
+            uses = [self._uses[node] for node in there if node in self._uses]
+            asked = gives * sum(uses) / len(uses) if uses else 0.0
+            delivered = [self._shares[node][0] for node in there if node in self._shares]
+            unmet = {node for node, met in mets.items() if met is Met.SILENT} | silent - mets.keys()
+            found[zone] = Sight(
+                boxes=known,
+                refused=sum(met is Met.REFUSED for met in mets.values()),
+                silent=len(unmet),
+                delivered=sum(delivered) / len(delivered) if delivered else 1.0,
+                gives=gives,
+                asked=asked,
+                demand=own,
+            )
+        return found
+
     def playing(self, token: str) -> ev.Session | None:
         """The session that a token's holder would be shown now."""
         number = self.claims.playing(token)
@@ -254,9 +319,7 @@
         for action in self.claims.handle(self._now / 1000, cl.Elsewhere(event.session)):
             if isinstance(action, cl.PassOn):
                 passed = ev.PassOn(action.request, event.claim)
-                self._out.append(
-                    passed if event.reached else ev.AnswerDown(action.request, cl.Why.UNREACHED)
-                )
+                self._out.append(passed if event.reached else ev.AnswerDown(action.request, cl.Why.UNREACHED))
         self._tell(fl.Withdrawn(event.session))
         self._attempt(at.IntentFailed(event.session, event.attempt))
 
@@ -576,8 +639,10 @@
                 for set_up in sessions:
                     self._taken(set_up, when)
             case Delivered(set_up, share):
+                self._shares[node] = share, self._now
                 self._note(node, set_up, fl.NoteKind.DELIVERED, share)
             case LinkUse(set_up, link, uplink):
+                self._uses[node] = link
                 self._note(node, set_up, fl.NoteKind.LINK, link)
                 if uplink is not None:
                     self._note(node, set_up, fl.NoteKind.UPLINK, uplink)
--- a/foxlift/director/events.py
+++ b/foxlift/director/events.py
@@ -121,6 +121,13 @@
     run: str
 
 
+@dataclass(frozen=True, slots=True)
+class PlanInForce:
+    """Where this director's viewers go by the plan in common, a share for each zone; empty: there is none."""
+
+    shares: tuple[float, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class NotOwner:
     """A box refused a command: it was taken over by another director."""
@@ -141,6 +148,7 @@
     | Adopted
     | Renewed
     | NotOwner
+    | PlanInForce
     | PollDue
     | ListAnswer
     | ListFailed
--- a/foxlift/director/peerhost.py
+++ b/foxlift/director/peerhost.py
@@ -26,6 +26,7 @@
 from foxlift.ledger import Ended
 from foxlift.recovery.claims import Claim
 from foxlift.tokens import SessionToken
+from foxlift.zones.evidence import Sight
 
 UNKNOWN = "-"  # no box is called so: a set-up for it is refused, and the refusal tells the name
 MOST_ROUTED = 4  # times that one request is looked for elsewhere
@@ -149,7 +150,7 @@
             self.daemon.ask_core(number)
             return
         if known is None:
-            self.peering.ask_register(number, token, held.wish.token.expires, held.passed)
+            self.peering.ask_about(number, token, held.wish.token.expires, held.passed)
             return
         run = int(parts, 16) if parts and all(c in "0123456789abcdef" for c in parts) else 0
         claim = Claim(self.daemon.config.name, run, known.box, known.set_up)
@@ -260,6 +261,9 @@
             self.daemon.feed(ev.NotOwner(set_up))
         return True
 
+    def sights(self) -> dict[str, Sight]:
+        return self.daemon.core.sights(self.daemon.timeline.now())
+
     def renewed(self) -> None:
         self.daemon.feed(ev.Renewed(format(self.peering.run, "x")))
 
--- a/foxlift/director/peering.py
+++ b/foxlift/director/peering.py
@@ -4,6 +4,7 @@
     POST /peers/view         who is there: `foxlift.peers.messages`
     POST /peers/hello        a run begins; the answer tells the run known before
     POST /peers/registers    a claimant's ask to a holder of its register
+    POST /peers/zones, /peers/plan, /peers/order    see `foxlift.director.zoning`
     GET  /dash/...           a viewer's request, passed on by the director that it came to
 
 Every body names its sender and the sender's run; who is not in the settings, or is in a run that is over, is
@@ -34,6 +35,7 @@
 from foxlift.decide.claims import Why
 from foxlift.director import events as ev
 from foxlift.director.timeline import Timeline
+from foxlift.director.zoning import OrderMessage, PlanMessage, ReportMessage, Zoning
 from foxlift.http import Answer, Exchange, Failure, Headers, Limits, Pool, PoolLimits, Server
 from foxlift.peers import view as pv
 from foxlift.peers.messages import State, read_answer, read_ask, write
@@ -44,6 +46,8 @@
 from foxlift.recovery.book import RegisterBook
 from foxlift.store import FilePort
 from foxlift.telemetry import Counters
+from foxlift.zones import common as cm
+from foxlift.zones.evidence import Sight
 
 T = TypeVar("T")
 
@@ -107,6 +111,7 @@
     def renewed(self) -> None: ...
     def boot(self, keep: ev.KeepIntent) -> str: ...
     def superseded(self) -> None: ...
+    def sights(self) -> dict[str, Sight]: ...
 
 
 @dataclass
@@ -139,6 +144,8 @@
     host: Host
     port: int = 0
     holder: Holder | None = None
+    plan_holder: Holder | None = None  # of the makers' one register
+    zoning: Zoning | None = None
     _proven: dict[str, rc.Claim] = field(default_factory=dict)
     _claiming: dict[int, _Waiting] = field(default_factory=dict)
     _exchanges: dict[int, Exchange] = field(default_factory=dict)  # asks of peers that wait for an answer
@@ -173,6 +180,8 @@
             self.takeovers.successor,
             peers.clocks_apart_ms,
         )
+        if peers.makers:
+            self.zoning = Zoning(config, self.timeline, self, lambda: self.run)
         most = 16 * len(self.names) + 64
         self.server = Server(self.loop, self._asked, Limits(max_connections=most, idle_time_ms=30_000.0))
 
@@ -188,6 +197,8 @@
         self._stand(self.standing.start())
         self._see(self.view.start())
         self._take(self.takeovers.handle(self.timeline.now(), tk.Started(self.run)))
+        if self.zoning is not None:
+            self.zoning.start()
         return self.port
 
     def leave(self) -> None:
@@ -201,6 +212,8 @@
     def close(self) -> None:
         """Let go of everything."""
         self.closed = True
+        if self.zoning is not None:
+            self.zoning.closed = True
         for pool in self._pools.values():
             pool.close()
         self.book.close()
@@ -232,6 +245,12 @@
             "/peers/hello": self._hello_asked,
             "/peers/registers": self._register_asked,
         }
+        if self.zoning is not None:
+            takes |= {
+                "/peers/zones": self._report_heard,
+                "/peers/plan": self._plan_told,
+                "/peers/order": self._zone_ordered,
+            }
         take = takes.get(request.path) if request.method == "POST" else None
         if take is None:
             self._refuse(exchange, 404, "no such resource")
@@ -283,6 +302,27 @@
 
         self.book.meet(hello.sender, hello.run, lasts)
 
+    def _report_heard(self, exchange: Exchange) -> None:
+        message = msgspec.json.decode(exchange.request.body, type=ReportMessage)
+        if self.zoning is not None and self._known(exchange, message.sender, message.run):
+            self.zoning.heard(message)
+            exchange.reply(204)
+
+    def _plan_told(self, exchange: Exchange) -> None:
+        message = msgspec.json.decode(exchange.request.body, type=PlanMessage)
+        if self.zoning is not None and self._known(exchange, message.sender, message.run):
+            self.zoning.told(message)
+            exchange.reply(204)
+
+    def _zone_ordered(self, exchange: Exchange) -> None:
+        message = msgspec.json.decode(exchange.request.body, type=OrderMessage)
+        if message.sender and not self._known(exchange, message.sender, message.run):
+            return
+        if self.zoning is None or not self.zoning.ordered(message):
+            self._refuse(exchange, 404, "the settings name no such zone")
+        else:
+            exchange.reply(204)
+
     def _register_asked(self, exchange: Exchange) -> None:
         message = msgspec.json.decode(exchange.request.body, type=ForHolder)
         if not self._known(exchange, message.sender, message.run):
@@ -301,10 +341,10 @@
 
     def _hold(self, ask: RegisterAsk, answer: Callable[[RegisterAnswer | None], None]) -> None:
         """This director as a holder; None where the disk failed."""
-        if self.holder is None:
+        number, holder = self._number(), self.plan_holder if ask.key == cm.KEY else self.holder
+        if holder is None:
             answer(Reject(ask.key, ask.ballot))
             return
-        number, holder = self._number(), self.holder
 
         def do(actions: list[hd.Action]) -> None:
             for action in actions:
@@ -377,6 +417,9 @@
                         self.book.begun_at,
                         self.book.records,
                     )
+                    if self.config.name in peers.makers:
+                        apart = peers.clocks_apart_ms
+                        self.plan_holder = Holder(cm.LASTS_MS, apart, self.book.begun_at, self.book.records)
                     self.log.info("registers vouched for", lost=lost, held=len(self.book.records))
 
     def _say_hello(self, peer: str) -> None:
@@ -454,7 +497,7 @@
         peers, config = self.config.peers, self.config
         want = rc.Want(
             number,
-            token,
+            f"t/{token}",  # no token's own name is another kind of key
             claim,
             (expires + config.tokens.leeway_s) * 1000,
             peers.claim_ms,
@@ -471,7 +514,7 @@
         while len(self._mine) > MOST_MINE:
             del self._mine[next(iter(self._mine))]
 
-    def ask_register(self, number: int, token: str, expires: int, passed: bool) -> None:
+    def ask_about(self, number: int, token: str, expires: int, passed: bool) -> None:
         """A request whose token's set-up here may have run: is it still this director's to say so?"""
         mine = self._mine.get(token)
         if mine is None:
@@ -565,9 +608,14 @@
             self._claims(self.claims.handle(self.timeline.now(), rc.OfRegister(event)))
 
     def _ask_holder(self, send: rg.Send) -> None:
+        self.ask_register(send, self._of_register)
+
+    def ask_register(self, send: rg.Send, tell: Callable[[rg.Answered | rg.Unanswered], None]) -> None:
+        """Ask a holder, this director itself among them."""
+
         def told(found: RegisterAnswer | None) -> None:
             event = rg.Unanswered(send.ask) if found is None else rg.Answered(send.ask, found)
-            self.loop.call_soon(self._of_register, event)
+            self.loop.call_soon(tell, event)
 
         if send.to == self.config.name:
             self._hold(send.message, told)
@@ -663,6 +711,24 @@
         )
         return True
 
+    # ---- Zones --------------------------------------------------------------------------------------------
+    def post(self, name: str, path: str, body: bytes) -> None:
+        """Tell a peer; whether it heard is of no matter, the next one says it again."""
+        if name in self._urls and not self.closed:
+            self._pool(name).call("POST", path, lambda _: None, headers=JSON, body=body, timeout_ms=HELLO_MS)
+
+    def there(self) -> list[str]:
+        """Who is there, this director first."""
+        return self.view.there()
+
+    def sights(self) -> dict[str, Sight]:
+        """What this director sees of zones."""
+        return self.host.sights()
+
+    def feed(self, event: ev.Event) -> None:
+        """Tell the core."""
+        self.host.feed(event)
+
     # ---- Takeovers ----------------------------------------------------------------------------------------
     def own_done(self, box: str) -> bool:
         """Whether what earlier runs left at this box is this run's by now."""
--- a/foxlift/zones/common.py
+++ b/foxlift/zones/common.py
@@ -39,7 +39,7 @@
 TELL_TIMES = 3.0  # times log2 of the fleet
 TELL_MS = 200.0
 TELL_TO = 3
-LASTS_MS = 10 * 365 * 86_400_000  # the register's end: far beyond any fleet's
+LASTS_MS = 4_102_444_800_000  # the register's end, Unix ms: the year 2100
 
 
 # ---- Events -----------------------------------------------------------------------------------------------
--- a/foxlift/zones/plan.py
+++ b/foxlift/zones/plan.py
@@ -3,6 +3,9 @@
     zone       judged, for so long               next        share of its demand that goes elsewhere
     NEAR       WEAK or FULL, CONFIRM_MS          LEANING     what it cannot carry, if others can
     NEAR       GONE, CONFIRM_MS                  EMPTIED     all that others can carry
+    NEAR       CUT, CONFIRM_MS                   ALONE       nothing: it serves its own, and nobody else's
+    ALONE      FINE, WEAK or FULL, steady        NEAR
+    ALONE      GONE, CONFIRM_MS                  EMPTIED
     LEANING    WEAK or FULL                      LEANING     as it changes, by steps worth telling
     LEANING    GONE, CONFIRM_MS                  EMPTIED
     LEANING    FINE, steady                      RETURNING
@@ -53,6 +56,7 @@
     LEANING = "leaning"
     EMPTIED = "emptied"
     RETURNING = "returning"
+    ALONE = "alone"
 
 
 class Order(Enum):
@@ -154,7 +158,7 @@
             before = current.of(zone)
             if found.away < before.away - 1e-9:
                 self._zones[zone].stepped = now
-            leaves = found.state in (State.EMPTIED, State.LEANING)
+            leaves = found.state in (State.EMPTIED, State.LEANING, State.ALONE)
             if leaves and before.state in (State.NEAR, State.RETURNING):
                 self._zones[zone].left = [*self._zones[zone].left[-MOST_STEADY:], now]
         return Plan(current.number + 1, made)
@@ -180,13 +184,18 @@
                 if lasts >= CONFIRM_MS or before.state is State.EMPTIED:
                     return State.EMPTIED, 1.0
                 return before.state, before.away
-            case Verdict.WEAK | Verdict.FULL if before.state is not State.EMPTIED:
+            case Verdict.WEAK | Verdict.FULL if before.state not in (State.EMPTIED, State.ALONE):
                 if lasts < CONFIRM_MS and before.state is State.NEAR:
                     return before.state, before.away
                 return State.LEANING, self._too_much(found)
+            case Verdict.CUT if before.state in (State.NEAR, State.ALONE):
+                alone = before.state is State.ALONE or lasts >= CONFIRM_MS
+                return (State.ALONE if alone else State.NEAR), 0.0
             case _:
                 if before.state is State.NEAR:
                     return State.NEAR, 0.0
+                if before.state is State.ALONE:
+                    return (State.NEAR if lasts >= self._steady_ms(now, zone) else State.ALONE), 0.0
                 if before.state is State.RETURNING:
                     return self._return(now, zone, before)
                 if lasts < self._steady_ms(now, zone):
--- a/tests/many.py
+++ b/tests/many.py
@@ -143,6 +143,8 @@
     plan: dict[str, Any] | None = None,
     peers: bool = True,
     places: int = 200,
+    zones: tuple[str, ...] = ("east", "west"),
+    makers: tuple[str, ...] = (),
 ) -> None:
     """Run a test in a world of its own."""
 
@@ -169,7 +171,14 @@
         made = FleetPlan(
             boxes=tuple(
                 BoxPlan(
-                    f"b{k}", "east", "std", k % 4, f"r{k % 2}", places, 700000.0, announce_to=announced[k]
+                    f"b{k}",
+                    zones[k % len(zones)] if makers else "east",
+                    "std",
+                    k % 4,
+                    f"r{k % 2}",
+                    places,
+                    700000.0,
+                    announce_to=announced[k],
                 )
                 for k in range(boxes)
             ),
@@ -211,9 +220,15 @@
             for old, new in WIDE:
                 assert old in text, old
                 text = text.replace(old, new)
+            if makers:
+                text = text.replace("(zone east)", f"(zone {zones[k % len(zones)]})")
+                text = text.replace("(zones east west)", f"(zones {' '.join(zones)})")
             text = text.replace("(kind-slots 200)", f"(kind-slots {places})")
+            said = f"(makers {' '.join(makers)})" if makers else ""
             known = (
-                f"(peers (period-ms {period_ms}) (grace-ms {grace_ms}) (others {others}))" if peers else ""
+                f"(peers (period-ms {period_ms}) (grace-ms {grace_ms}) (others {others}) {said})"
+                if peers
+                else ""
             )
             text = text[:-1] + f"\n  {known} (seed {k}))\n"
             (folder / f"{name}.sexp").write_text(edit(text))
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -12,6 +12,7 @@
 from zones_world import ZONES, Fleet, anything, broken
 
 from foxlift.accord import Promise, Registers
+from foxlift.director.zoning import shares_of
 from foxlift.zones import common as cm
 from foxlift.zones.evidence import Evidence, Judgement, Report, Sight, Verdict
 from foxlift.zones.plan import (
@@ -136,6 +137,26 @@
     assert list(plan.of("s1").to) == ["s2", "n1"]
 
 
+def test_a_zone_that_is_cut_off_serves_its_own_and_nobody_else_s() -> None:
+    planner = Planner(dict(ZONES))
+    fine = dict.fromkeys(NAMES, FINE)
+    plan = after(planner, {**fine, "n1": replace(FINE, verdict=Verdict.CUT)}, Plan(), 0.0, 2000.0)
+    assert plan.of("n1") == ZonePlan(State.ALONE, 0.0, {})
+    assert shares_of(plan, "n1", NAMES)[0] == 1.0  # for its own directors
+    elsewhere = shares_of(plan, "s1", NAMES)
+    assert elsewhere[0] == 0.0 and elsewhere[NAMES.index("s1")] == 1.0 and min(elsewhere[1:]) > 0
+    assert after(planner, fine, plan, 3000.0, STEADY_MS + 1000.0).of("n1").state is State.NEAR
+
+
+def test_shares_leave_emptied_zones_and_hardly_touch_the_rest() -> None:
+    assert shares_of(Plan(), "n1", NAMES) == ()
+    plan = Plan(1, {"n1": ZonePlan(State.EMPTIED, 0.9, {"n2": 0.8, "s1": 0.1})})
+    own = dict(zip(NAMES, shares_of(plan, "n1", NAMES), strict=True))
+    assert own["n1"] == 0.0 and own["n2"] == 0.8 and own["s1"] == 0.1 and 0 < own["w1"] < 0.001
+    full = Plan(1, {"n1": ZonePlan(State.EMPTIED, 0.0, {})})  # nobody has room: rather there than refused
+    assert shares_of(full, "n1", NAMES)[0] == 1.0
+
+
 def test_at_95_in_a_hundred_nothing_has_room_and_nothing_moves() -> None:
     planner = Planner(dict(ZONES))
     busy = Judgement(Verdict.FINE, 1.0, 1000.0, 950.0, 950.0)
