--- a/foxlift/rehearsal/crowd.py
+++ b/foxlift/rehearsal/crowd.py
@@ -6,6 +6,7 @@
 from bisect import bisect
 from itertools import accumulate
 
+from foxlift.rehearsal.files import zone_of
 from foxlift.rehearsal.scenario import Scenario
 from foxlift.standins.player import Act, Viewer
 
@@ -55,4 +56,8 @@
         at_s=at,
         acts=tuple(sorted(acts, key=lambda act: act.at_s)),
     )
-    return viewer, chance.randrange(scenario.directors)
+    first = chance.randrange(scenario.directors)
+    if scenario.at_home:
+        zone = own.choice(scenario.zones)
+        first = own.choice([k for k in range(scenario.directors) if zone_of(scenario, k) == zone] or [first])
+    return viewer, first
--- a/foxlift/rehearsal/day.py
+++ b/foxlift/rehearsal/day.py
@@ -16,14 +16,16 @@
 from foxlift.rehearsal.billing import Billing, check_exports, hold_against
 from foxlift.rehearsal.crowd import draw_viewers
 from foxlift.rehearsal.faults import terms_of
+from foxlift.rehearsal.plans import Plans, read_plans
 from foxlift.rehearsal.processes import Child, ChildError
 from foxlift.rehearsal.scenario import LINK_FAULTS, Scenario, Step
 from foxlift.standins.checker import Checker, Verdict
 from foxlift.standins.player import Player, Viewer, Watching
 from foxlift.standins.tap import Recorder, Tap
-from foxlift.standins.ways import Terms
+from foxlift.standins.ways import State, Terms
 from foxlift.tokens import Issuer, SessionToken
 
+LOST = Terms(State.CUT)
 PATIENCE_S = 12.0  # after the day's end, for sessions that still play
 
 Progress = Callable[[float, str], None]
@@ -40,6 +42,7 @@
     billing: Billing = field(default_factory=Billing)
     fallen: list[str] = field(default_factory=list)
     exits: dict[str, int] = field(default_factory=dict)
+    plans: Plans | None = None
     rolled: dict[str, int] = field(default_factory=dict)  # exit codes of those that were stopped on the way
     seconds: float = 0.0
 
@@ -48,7 +51,7 @@
         """Whether every rule was kept, the ledgers agree with the taps, every process ended as it should."""
         agree = not self.billing.differences
         ended = not any(self.exits.values()) and not any(self.rolled.values())
-        return not self.verdict.broken and agree and ended
+        return not self.verdict.broken and agree and ended and not (self.plans and self.plans.differing)
 
     @property
     def stalled_s(self) -> float:
@@ -72,7 +75,7 @@
 
     def _tap(self, name: str, link: tuple[str, str] | None = None) -> Tap:
         rest = Terms()
-        if link and self.scenario.far_s and files.ends_apart(self.scenario, int(link[0][1:]), link[1]):
+        if link and self.scenario.far_s and files.ends_apart(self.scenario, *link):
             rest = Terms(delay_s=self.scenario.far_s)
         picks = _is_control if link and not link[1].startswith("d") else _is_any
         tap = Tap(name, self.recorder, self.loop, picks, rest)
@@ -164,6 +167,14 @@
                 await self._start_director(number)
             case "roll":
                 await self._roll()
+            case "cut-zone":
+                self.recorder.mark(step.do, zone=step.on)
+                for tap in self._across(step.on):
+                    tap.change(LOST, LOST)
+            case "lose-zone":
+                await self._lose_zone(step.on, True)
+            case "order-zone":
+                await self._order_zone(step.on, "empty")
             case "stall":
                 self.recorder.mark("stall", director=step.on, on=bool(value))
                 self.directors[number].stop_running(bool(value))
@@ -199,6 +210,31 @@
             self.recorder.mark("restart", director=child.name)
             await self._start_director(k)
 
+    def _across(self, zone: str) -> list[Tap]:
+        """Every way between what lies in a zone and what does not; the list is in each."""
+        inside = {
+            name: files.zone_of_end(self.scenario, name) == zone
+            for pair in self.links
+            for name in pair
+            if name != "list"
+        }
+        return [tap for (one, end), tap in self.links.items() if end != "list" and inside[one] != inside[end]]
+
+    async def _lose_zone(self, zone: str, lost: bool) -> None:
+        """All boxes and directors of a zone end at once, or come back; its boxes cold."""
+        for k in range(self.scenario.boxes):
+            if files.zone_of_end(self.scenario, f"b{k}") == zone:
+                await self._do(Step(0.0, "die" if lost else "return", f"b{k}"), 1.0)
+        there = [k for k in range(self.scenario.directors) if files.zone_of(self.scenario, k) == zone]
+        steps = [Step(0.0, "kill" if lost else "restart", f"d{k}") for k in there]
+        await asyncio.gather(*(self._do(step, 1.0) for step in steps))
+
+    async def _order_zone(self, zone: str, order: str) -> None:
+        """An operator's order, to the first director that has a peers' listener."""
+        self.recorder.mark("order-zone", zone=zone, order=order)
+        port = next(tap.target for (_, end), tap in self.links.items() if end.startswith("d") and tap.target)
+        await self._post(json.dumps({"zone": zone, "order": order}).encode(), port, "/peers/order")
+
     def _taps_of(self, step: Step) -> list[Tap]:
         link = self.scenario.link(step)
         pairs = [(director, end) for director in link.directors for end in link.ends if director != end]
@@ -224,6 +260,17 @@
                     await tap.listen()
                 tap.mend()
             return
+        if step.do == "cut-zone":
+            self.recorder.mark("cut-zone over", zone=step.on)
+            for tap in self._across(step.on):
+                tap.mend()
+            return
+        if step.do == "lose-zone":
+            await self._lose_zone(step.on, False)
+            return
+        if step.do == "order-zone":
+            await self._order_zone(step.on, "return")
+            return
         back = {"kill": "restart", "die": "return"}.get(step.do)
         if back is not None:
             await self._do(msgspec.structs.replace(step, do=back), step.value)
@@ -238,16 +285,14 @@
             body = json.dumps({"do": step.do, "box": name, "value": value}).encode()
             await self._post(body)
 
-    async def _post(self, body: bytes) -> None:
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.control)
-        writer.write(
-            b"POST / HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: %d\r\n\r\n" % len(body)
-            + body
-        )
+    async def _post(self, body: bytes, port: int = 0, path: str = "/") -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port or self.control)
+        head = f"POST {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {len(body)}\r\n\r\n"
+        writer.write(head.encode() + body)
         answer = await reader.read()
         writer.close()
         if not answer.startswith(b"HTTP/1.1 204"):
-            raise RuntimeError(f"the fleet did not take {body!r}: {answer[:200]!r}")
+            raise RuntimeError(f"{body!r} was not taken: {answer[:200]!r}")
 
     async def _state(self) -> dict[str, object]:
         reader, writer = await asyncio.open_connection("127.0.0.1", self.control)
@@ -342,6 +387,8 @@
     finally:
         day.close()
     progress(scenario.seconds, "judging what the taps wrote down")
+    if scenario.makers:
+        day.result.plans = read_plans([folder / f"d{k}.log" for k in range(scenario.directors)])
     states = [folder / f"state-d{k}" for k in range(scenario.directors)]
 
     def judge() -> tuple[Verdict, Billing]:
--- /dev/null
+++ b/foxlift/rehearsal/days/zones.sexp
@@ -0,0 +1,23 @@
+; Zones of three regions fail one after another: lost and back cold, cut off, slow, emptied by an operator.
+(scenario (name "zones") (seconds 70) (viewers 900)
+  (directors 9) (boxes 36) (racks 6) (zones north-1 north-2 south-1 south-2 west-1 west-2) (titles 36) (holders 12)
+  (takeover true) (peer-ms 200) (grace-s 60) (far-s 0.005) (clocks-s 1) (token-holders 7) (faithful true) (at-home true)
+  (makers d0 d2 d4)
+  (classes
+    (class (terms (name "graded-lesson") (repeat once) (wanted-ms 1500) (deadline-ms 3000) (worth 3) (top 3)
+                  (floor 1))
+           (part 0.5) (length-s 6 20))
+    (class (terms (name "briefing-replay") (repeat free) (wanted-ms 1000) (deadline-ms 5000) (worth 1) (top 3)
+                  (rate-scale 0.7))
+           (part 0.5) (length-s 6 20)))
+  (tenants (tenant (name "north") (part 0.67)) (tenant (name "south") (part 0.33)))
+  (ladder-kb 150 400 900 2000) (ladder-worth 0.22 0.5 0.76 1)
+  (link-kb 16000) (uplink-kb 120000) (places 60) (warm-up-ms 4000) (segment-s 1)
+  (idle-s 6) (park-s 60)
+  (steps
+    (step (at-s 6) (do lose-zone) (on "north-2") (for-s 5))
+    (step (at-s 24) (do cut-zone) (on "south-1") (for-s 9))
+    (step (at-s 40) (do weaken) (on "b4") (value 0.1) (for-s 8))
+    (step (at-s 40) (do weaken) (on "b10") (value 0.1) (for-s 8))
+    (step (at-s 44) (do order-zone) (on "west-2") (for-s 10))
+    (step (at-s 52) (do kill) (on "d0") (for-s 5))))
--- a/foxlift/rehearsal/faults.py
+++ b/foxlift/rehearsal/faults.py
@@ -68,7 +68,9 @@
         return Step(at, do, director, for_s=lasts)  # type: ignore[arg-type]
     if do == "die":
         return Step(at, "die", box, for_s=lasts)
-    end = "list" if do == "refuse" else chance.choice([box, box, "list", "boxes"])
+    others = [f"d{k}" for k in range(scenario.directors) if f"d{k}" != director] if scenario.takeover else []
+    ends = [box, box, "list", "boxes", *(["directors", chance.choice(others)] if others else [])]
+    end = "list" if do == "refuse" else chance.choice(ends)
     link = f"{director}{chance.choice('-<>')}{end}"
     value = {"delay": chance.choice([0.1, 0.5, 2.0]), "slow": 2000.0, "break": float(chance.randrange(400))}
     return Step(at, do, link, value.get(do, 1.0), lasts)  # type: ignore[arg-type]
--- a/foxlift/rehearsal/files.py
+++ b/foxlift/rehearsal/files.py
@@ -137,13 +137,18 @@
     return zone.rpartition("-")[0]
 
 
-def ends_apart(scenario: Scenario, director: int, end: str) -> bool:
+def zone_of_end(scenario: Scenario, end: str) -> str:
+    """The zone of a director or box, by its name."""
+    number = int(end[1:])
+    return zone_of(scenario, number % scenario.racks if end.startswith("b") else number)
+
+
+def ends_apart(scenario: Scenario, director: str, end: str) -> bool:
     """Whether a director and what it talks to lie in different regions; the list is everywhere."""
     if end == "list":
         return False
-    number = int(end[1:])
-    there = zone_of(scenario, number % scenario.racks if end.startswith("b") else number)
-    return region_of(zone_of(scenario, director)) != region_of(there)
+    here, there = zone_of_end(scenario, director), zone_of_end(scenario, end)
+    return region_of(here) != region_of(there)
 
 
 def clock_ahead_s(scenario: Scenario, number: int, seed: int) -> float:
@@ -161,10 +166,12 @@
     others = " ".join(
         f'(peer (name "{name}") (url "http://127.0.0.1:{port}"))' for name, port in (peers or {}).items()
     )
+    regions = " ".join(region_of(zone) or zone for zone in scenario.zones)
+    plans = f" (makers {' '.join(scenario.makers)}) (regions {regions})" if scenario.makers else ""
     apart_ms = int(2000 * scenario.clocks_s) + 500
     known = (
         f"(peers (period-ms {scenario.peer_ms}) (grace-ms {scenario.grace_s * 1000}) (claim-ms 400)"
-        f" (holders {scenario.token_holders})"
+        f" (holders {scenario.token_holders}){plans}"
         f" (clocks-apart-ms {apart_ms}) (others {others}))"
         if others
         else ""
--- a/foxlift/rehearsal/report.py
+++ b/foxlift/rehearsal/report.py
@@ -57,6 +57,7 @@
         "billing": asdict(result.billing),
         "exits": result.exits,
         "rolled": result.rolled,
+        "plans": None if result.plans is None else asdict(result.plans),
         "seconds": round(result.seconds, 1),
     }
 
@@ -84,6 +85,12 @@
             f"{report['taken_over']} sessions changed hands, {report['refused_commands']} commands of others"
             f" than their owner refused, {report['spent']} paid tokens spent though their box lived"
         )
+    if result.plans is not None:
+        states = ", ".join(f"{count} {state}" for state, count in sorted(result.plans.states.items()))
+        console.print(
+            f"{result.plans.numbers} plans ({states}), {len(result.plans.differing)} numbers with two plans;"
+            f" the last director followed {result.plans.late_s:.2f} s after the first at most"
+        )
     rules = Table("rule", "", "broken")
     for number, text in RULES.items():
         count = sum(1 for b in result.verdict.broken if b.rule == number)
--- a/foxlift/rehearsal/scenario.py
+++ b/foxlift/rehearsal/scenario.py
@@ -54,6 +54,9 @@
         "kill-random",
         "restart",
         "roll",
+        "cut-zone",
+        "lose-zone",
+        "order-zone",
         "stall",
         "die",
         "return",
@@ -130,6 +133,8 @@
     grace_s: Seconds = 30.0  # a box keeps a session so long without its owner's stream
     far_s: Seconds = 0.0  # one way between two regions; a zone's region is its name up to the last "-"
     clocks_s: Seconds = 0.0  # directors' clocks are set off by up to so much, either way
+    makers: tuple[Name, ...] = ()  # directors that agree on plans for zones
+    at_home: bool = False  # viewers come to a director of their zone first
     faithful: bool = False  # viewers come back with the same token where a director does not answer
 
     def __post_init__(self) -> None:
@@ -137,7 +142,7 @@
             raise ValueError(f"holders {self.holders} is more than boxes {self.boxes}")
         known = {f"b{k}" for k in range(self.boxes)} | {f"d{k}" for k in range(self.directors)}
         known |= {f"r{k}" for k in range(self.racks)} | {f"t{k}" for k in range(self.titles)}
-        known |= {"", "boxes"}
+        known |= {"", "boxes"} | set(self.zones)
         for step in self.steps:
             if step.do in LINK_FAULTS:
                 self.link(step)
--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -542,6 +542,7 @@
         "foxlift.peers",
         "foxlift.accord",
         "foxlift.recovery",
+        "foxlift.zones",
         "foxlift.boxes",
     ):
         assert heavy not in loaded
