Reread: an unused property and unused fields of a take taken out

Found on rereading the change: Takeovers.settled and two fields of the stand-in's Taken were read by nobody. 126 tests of recovery, checker, zones and takeover pass after it.

--- a/foxlift/recovery/takeover.py
+++ b/foxlift/recovery/takeover.py
@@ -244,11 +244,6 @@
         """Entries in each table."""
         return {"gone": len(self._gone), "work": len(self._work)}
 
-    @property
-    def settled(self) -> bool:
-        """Whether nothing is left to be taken over here, as far as is known."""
-        return all(work.state is _State.DONE for work in self._work.values())
-
     # ---- What is to be done -------------------------------------------------------------------------------
     def _started(self, now: float, run: int) -> list[Action]:
         first = self.name not in self._gone
--- a/foxlift/standins/owners.py
+++ b/foxlift/standins/owners.py
@@ -37,11 +37,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Taken:
-    """What a take brought: set-ups that changed hands, whose they were, and when (Unix ms)."""
+    """What a take brought: set-ups that changed hands; whether there are more."""
 
     set_ups: tuple[str, ...]
-    upto: int
-    at_ms: int
     more: bool
 
 
@@ -109,7 +107,7 @@
             self.sessions[set_up] = Owned(
                 by, run, owned.since_ms if of == by else now_ms, owned.term + 1, True
             )
-        return Taken(tuple(found[:most]), upto, now_ms, len(found) > most)
+        return Taken(tuple(found[:most]), len(found) > most)
 
     def became(self, set_up: str, by: str) -> tuple[str, str]:
         """What the box knows of a set-up, and whose it is; once its run is fenced, `never` is for good."""
