A set-up taken over is no attempt that never ran: its claim is not replaced

Found on rereading the change: a register's value of this very run was replaced without asking, as an attempt that a box had refused. After another director has taken the session over that value still stands, the local claim is dropped at the box's notice, and until the next run lasts on disk (or for up to a second where one began just before) a reload here would have sent a second set-up of a paid token. foxlift/recovery/claims.py, PaidClaims._decided.

Change: the core says which set-ups are another's before it drops their claim; such a claim is asked about at its box. The run of an earlier intent is read from the end of the set-up's name, as directors' names may hold a hyphen.

The virtual world had not found it, for its processes never forget a claim before they renew.

--- a/foxlift/director/core.py
+++ b/foxlift/director/core.py
@@ -376,11 +376,13 @@
         """Another director owns the session now: its end here, by the box's clock, is its beginning there."""
         found = self.attempts.own(set_up)
         if found is None or not self.attempts.knows(set_up):
+            self._out.append(ev.SetUpLost(set_up))
             self._claim(cl.Lost(set_up))
             return
         session = self.sessions.get(found[0])
         if session is not None and 0 < when < session.since:
             return  # of an earlier time that it was this director's
+        self._out.append(ev.SetUpLost(set_up))
         self._claim(cl.Elsewhere(found[0]))
         self._attempt(at.EndedAtBox(*found, fl.Outcome.CANCELLED, when))
 
--- a/foxlift/director/daemon.py
+++ b/foxlift/director/daemon.py
@@ -348,7 +348,7 @@
                 self.counters.add("turned down", why.value)
                 unreached = self.peers is not None and why is Why.UNREACHED
                 self.answers.down(request, why, self.peers.come_back_ms() if unreached else 0.0)  # type: ignore[union-attr]
-            case ev.PassOn() | ev.AskAbout() | ev.FetchTaken() | ev.Listed():
+            case ev.PassOn() | ev.AskAbout() | ev.FetchTaken() | ev.SetUpLost() | ev.Listed():
                 if self.peers is not None:
                     self.peers.carry_out(action)
             case ev.KeepIntent() if self.peers is not None:
--- a/foxlift/director/events.py
+++ b/foxlift/director/events.py
@@ -244,6 +244,13 @@
     boxes: frozenset[str]
 
 
+@dataclass(frozen=True, slots=True)
+class SetUpLost:
+    """Another director owns this set-up from now on."""
+
+    set_up: str
+
+
 @dataclass(frozen=True, slots=True)
 class FetchTaken:
     """A box names sessions of this director that it does not know: ask the box for them."""
@@ -366,6 +373,7 @@
     | PassOn
     | AskAbout
     | FetchTaken
+    | SetUpLost
     | Listed
     | KeepIntent
     | SettleIntent
--- a/foxlift/director/peerhost.py
+++ b/foxlift/director/peerhost.py
@@ -127,7 +127,7 @@
         """When a viewer is to come back whom nobody can answer now; told apart."""
         return self.peering.routes.come_back_ms()
 
-    def carry_out(self, action: ev.PassOn | ev.AskAbout | ev.FetchTaken | ev.Listed) -> None:
+    def carry_out(self, action: ev.PassOn | ev.AskAbout | ev.FetchTaken | ev.SetUpLost | ev.Listed) -> None:
         """What the core wants done between directors."""
         match action:
             case ev.PassOn(request, claim):
@@ -136,13 +136,15 @@
                 self.ask_about(request, token)
             case ev.FetchTaken(node):
                 self.peering.fetch(self.box(node))
+            case ev.SetUpLost(set_up):
+                self.peering.claims.lose(set_up)
             case ev.Listed(boxes):
                 self.peering.listed(boxes)
 
     def ask_about(self, number: int, token: str) -> None:
         """A request whose token an earlier run had: its box knows more than the record."""
         known = self.daemon.book.known.get(token)
-        parts = known.set_up.split("-")[0].rpartition(".")[2] if known is not None else ""
+        parts = known.set_up.rsplit("-", 2)[0].rpartition(".")[2] if known is not None else ""
         held = self._routed(number)
         if held is None:
             return
--- a/foxlift/recovery/claims.py
+++ b/foxlift/recovery/claims.py
@@ -21,6 +21,7 @@
 
 from foxlift.accord import register as rg
 
+MOST_LOST = 100_000
 TRIES = 3  # an own earlier attempt, then perhaps one more
 
 
@@ -122,11 +123,21 @@
     run: int
     registers: rg.Registers
     _asked: dict[int, _Asked] = field(default_factory=dict)  # by the change's number
+    _lost: dict[str, None] = field(default_factory=dict)  # set-ups that others own now, the oldest first
     _last: int = 0
 
     def __len__(self) -> int:
         return len(self._asked)
 
+    def lose(self, set_up: str) -> None:
+        """Another director owns this set-up: it plays, so its claim is no earlier attempt that never ran.
+
+        The run is renewed soon after; until then this alone keeps a second set-up from being sent.
+        """
+        self._lost[set_up] = None
+        while len(self._lost) > MOST_LOST:
+            del self._lost[next(iter(self._lost))]
+
     def handle(self, now: float, event: Event) -> list[Action]:
         """Take one event in; `now` in ms."""
         if isinstance(event, Want):
@@ -169,6 +180,6 @@
             return [Held(want.number)]
         found = read_claim(value)
         own = found is not None and (found.owner, found.run) == (self.name, self.run)
-        if own and asked.tries < TRIES:
+        if own and found is not None and found.set_up not in self._lost and asked.tries < TRIES:
             return self._change(now, _Asked(want, value, asked.tries + 1))
         return [Elsewhere(want.number, found)]
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import pytest
-from recovery_world import BOX, World
+from recovery_world import BOX, AtomicRegisters, World
 
 from foxlift.peers.messages import State as PeerState
 from foxlift.recovery import claims as rc
@@ -181,6 +181,24 @@
     assert len(seen) > 1000
 
 
+@pytest.mark.parametrize("told", [True, False])
+def test_a_set_up_that_was_taken_over_is_no_attempt_that_never_ran(told: bool) -> None:
+    """One that stood still wakes, and its viewer asks again before its next run has begun."""
+    registers = AtomicRegisters("d0.1", 1)
+    registers.store = {"value": None}
+    claims = rc.PaidClaims("d0", 1, registers)
+
+    def want(number: int) -> list[rc.Action]:
+        claim = rc.Claim("d0", 1, BOX, f"d0.1-{number}-0", 1000, "b0#1")
+        return claims.handle(0.0, rc.Want(number, "t", claim, 10**9, 1000.0, ("d0",)))
+
+    assert want(1) == [rc.Held(1)]
+    if told:
+        claims.lose("d0.1-1-0")
+    (answer,) = want(2)
+    assert isinstance(answer, rc.Elsewhere if told else rc.Held)  # without the guard: set up a second time
+
+
 # ---- Who takes what over, and when ------------------------------------------------------------------------
 NAMES = frozenset(f"d{k}" for k in range(9))
 BOXES = frozenset(f"b{k}" for k in range(24))
