After a stall the sockets are looked at before what came due, as was meant

Cause: Timeline held timers back for call_later(0.0005). uvloop rounds that to 0 ms and runs it at once, in the same turn and before the sockets are read, wherever the stall was inside a read. So time-outs came before answers that had arrived during the stall. Seen by a probe of two socket pairs on uvloop: stall, timer, read. Ruled out: a stall inside a timer (read, stall, timer: the loop itself polls in between).

Change: the look is a timer of 1 ms, three times: the first accepts, the second reads, the third hears an end.

--- a/foxlift/director/timeline.py
+++ b/foxlift/director/timeline.py
@@ -5,9 +5,13 @@
 and a box's stated start time means on it what it says.
 
 Timers are kept in one heap. When the loop has stood still for longer than `stall_ms`, what is due is held
-back until the loop has looked at its sockets once: an answer that came during the stall must not lose to a
+back until the loop has looked at its sockets: an answer that came during the stall must not lose to a
 time-out that came due after it, and the module must see both in the order in which they happened as nearly as
 can be told.
+
+A look is a timer of the loop's own: its timers run before its sockets are read, so only what a further timer
+waits for has been read. The loop knows whole milliseconds and runs what is nearer than that at once, before
+any look. Three looks: the first accepts a connection, the second reads it, the third hears its end.
 """
 
 from __future__ import annotations
@@ -17,7 +21,8 @@
 from collections.abc import Callable
 from itertools import count
 
-SOON_S = 0.0005  # one look at the sockets
+SOON_S = 0.001  # one look at the sockets; the loop takes anything shorter for none
+LOOKS = 3
 
 
 class Timeline:
@@ -35,7 +40,7 @@
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._order = count()
         self._handle: asyncio.TimerHandle | None = None
-        self._looked = False  # the loop has looked at its sockets since it stood still
+        self._looks = 0  # the loop has taken at its sockets since it stood still
         self.stalls = 0
         self.closed = False
 
@@ -69,13 +74,14 @@
         self._handle = None
         now = self._loop.time()
         late = now - self._heap[0][0] if self._heap else 0.0
-        if late > self._stall_s and not self._looked:
-            self._looked = True
-            self.stalls += 1
-            self._on_stall(late * 1000)
+        if late > self._stall_s and self._looks < LOOKS:
+            if not self._looks:
+                self.stalls += 1
+                self._on_stall(late * 1000)
+            self._looks += 1
             self._handle = self._loop.call_later(SOON_S, self._due)
             return
-        self._looked = False
+        self._looks = 0
         try:
             while self._heap and self._heap[0][0] <= now and not self.closed:
                 heapq.heappop(self._heap)[2]()
--- a/tests/test_boxes.py
+++ b/tests/test_boxes.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import heapq
+import socket
+import time
 from collections.abc import Callable
 from typing import Any
 
 import pytest
+import uvloop
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -173,12 +176,44 @@
     line.later(500.0, lambda: seen.append("beat"))
     loop.sockets.append(lambda: seen.append("answer"))  # came during the stall
     loop.turn(5.0)
-    loop.turn(5.001)
-    assert seen == ["answer", "beat", "time-out"]
+    loop.sockets.append(lambda: seen.append("of one who had just connected"))  # accepted by the first look
+    for look in (1, 2, 3):
+        loop.turn(5.0 + look * 0.0015)
+    assert seen == ["answer", "of one who had just connected", "beat", "time-out"]
     assert stalls == [pytest.approx(4500.0)]
     assert line.stalls == 1
 
 
+def test_on_the_loop_in_service_what_came_during_a_stall_is_read_before_what_came_due() -> None:
+    async def test() -> None:
+        loop, seen = asyncio.get_running_loop(), list[str]()
+        pairs = [socket.socketpair() for _ in range(2)]
+
+        class Reads(asyncio.Protocol):
+            def data_received(self, data: bytes) -> None:
+                seen.append("answer")
+
+        class Stalls(asyncio.Protocol):
+            def data_received(self, data: bytes) -> None:
+                # stands still while it reads: what comes now is found by the look after the timers
+                time.sleep(0.06)
+                pairs[0][1].send(b"x")
+
+        await loop.create_connection(Reads, sock=pairs[0][0])
+        await loop.create_connection(Stalls, sock=pairs[1][0])
+        over = loop.create_future()
+        line = Timeline(loop, time.time(), 20.0, lambda late: seen.append("stall"))
+        line.later(10.0, lambda: seen.append("time-out"))
+        line.later(10.0, lambda: over.set_result(None))
+        pairs[1][1].send(b"y")
+        await asyncio.wait_for(over, 20)
+        for _, far in pairs:
+            far.close()
+        assert seen == ["stall", "answer", "time-out"]
+
+    uvloop.run(test())
+
+
 def test_after_the_end_no_timer_comes() -> None:
     loop = FakeLoop()
     line, _ = timeline(loop)
