A stop ends when all is written and the sockets were read again, before the kill

Cause, read in limits.may_end and _tick and forced on loopback sockets: the end followed in the very turn in which no set-up was unanswered.

Change: foxlift/platform/stop.py decides (no I/O): it stays until nothing is owed or unsent, then looks at the sockets for five turns, and stays again for what it finds. The kill's time follows from the settings' longest deadline; 200 ms before it what is open is answered (failed where it may have run and may not be repeated, else refused). The process ends at once afterwards: taking uvloop apart gives signals back to the system.

--- a/foxlift/decide/driver.py
+++ b/foxlift/decide/driver.py
@@ -69,6 +69,11 @@
         """Requests that are owed their answer."""
         return len(self._requests)
 
+    def may_have_run(self, number: int) -> bool:
+        """Whether an attempt of a request has ended that is not proven never to have run."""
+        request = self._requests.get(number)
+        return request is not None and request.may_have_run
+
     def tell(self, now: float, event: fl.Event) -> None:
         """Tell the module, now or, from inside an action, when its turn comes. `now` in ms."""
         self._events.append(event)
--- a/foxlift/platform/__main__.py
+++ b/foxlift/platform/__main__.py
@@ -19,7 +19,7 @@
 
 
 async def serve(path: str) -> int:
-    """Serve until told to stop; the exit code."""
+    """Serve until told to stop, and end the process with 0; the exit code where it cannot serve."""
     try:
         with open(path, "rb") as file:
             config = read(file.read())
@@ -43,7 +43,10 @@
     await director.ended
     director.log.say("ended", director.last_line())
     director.log.say("believed at the end", director.boxes_line())
-    return 0
+    # at once: taking the loop apart gives signals back to the system, and a SIGHUP would end the process by
+    # itself; all that is owed is written, and sockets are the machine's to close
+    sys.stderr.flush()
+    os._exit(0)
 
 
 def main() -> int:
--- a/foxlift/platform/core.py
+++ b/foxlift/platform/core.py
@@ -10,6 +10,7 @@
     ASKED     the box's own whole 200           STANDS    STARTED with the box's description
     ASKED     the module refuses or fails it    (none)    FINISH, with a time to come back where allowed
     ASKED     FINISH, or the connection closes  LEFT      FINISHED, where there is someone to tell
+    ASKED     the process ends                  LEFT      FINISH
     LEFT      its attempt ends                  (none)    nothing
     STANDS    the box releases it, or is lost   (none)    FINISH; nothing where its viewer ended it
     STANDS    FINISH                            (none)    FINISHED
@@ -159,6 +160,8 @@
                 if found is not None:
                     self.counts["handover without a box"] += 1
                     self._over(found[0], tag, viewers.finish(tag, CUT))
+            case ev.LastAnswers():
+                self._last_answers()
             case ev.Listed(told):
                 self._list(told)
         return self._out
@@ -308,6 +311,17 @@
         if not self.attempts.holds(session.number):
             self.sessions.pop(session.number, None)
 
+    def _last_answers(self) -> None:
+        """What may have run and may not be repeated has failed; the rest is harmless to try elsewhere."""
+        for number in sorted(number for numbers in self._by_conn.values() for number in numbers):
+            session = self.sessions[number]
+            free = self.settings.classes[session.klass].repeat is fl.Repeat.FREE
+            ran = session.box_conn != 0 or self._driver.may_have_run(number)
+            cause = FAILED if ran and not free else REFUSED
+            self.counts["answered as the process ends"] += 1
+            self._out.append(ev.ToViewer(session.conn, viewers.finish(session.tag, cause)))
+            self._withdraw(session)
+
     def _viewer_gone(self, conn: int) -> None:
         for number in sorted(self._by_conn.get(conn, ())):
             session = self.sessions.get(number)
--- a/foxlift/platform/events.py
+++ b/foxlift/platform/events.py
@@ -75,6 +75,11 @@
     tag: str
 
 
+@dataclass(frozen=True, slots=True)
+class LastAnswers:
+    """The process ends soon: every request that is still open gets its answer now."""
+
+
 @dataclass(frozen=True, slots=True)
 class Listed:
     """An event of the coordinator, also out of the configuration: it holds what was told until the start."""
@@ -91,6 +96,7 @@
     | BoxLost
     | AttemptDue
     | HandoverDue
+    | LastAnswers
     | Listed
     | fl.Wake
 )
--- a/foxlift/platform/limits.py
+++ b/foxlift/platform/limits.py
@@ -1,4 +1,4 @@
-"""Who may stay connected, and when a stopping director may end. No I/O.
+"""Who may stay connected, and how long bytes lay unread. No I/O.
 
 Viewers hold at most a third of the descriptors by the platform's word; whoever connects beyond, or says
 nothing, is nobody's viewer yet and is the first to go. A connection is *proven* once a whole message came on
@@ -22,8 +22,6 @@
 BOX_PART = 0.3  # of the descriptors, for media boxes
 MOST_PER_BOX = 32  # connections: more set-ups at once than that share connections
 RESERVED = 16  # descriptors: the loop's own, the listener, the coordinator's old and new connection, logs
-LEAST_STAY_MS = 700.0  # after SIGTERM: so long requests may still arrive
-STAY_SLACK_MS = 250.0
 MOST_BLAMED = 40  # messages without sense, each answered, after which a connection is shut
 LOOK_MS = 1.5  # a loop that looks at its sockets again within this was not waiting for them
 LEAST_LAG_MS = 4.0  # less than this is the clock's own grain
@@ -138,7 +136,3 @@
         """Some work of the round is finished."""
         self.done_at = now
 
-
-def may_end(now: float, stopping_since: float, unanswered: int) -> bool:
-    """Whether a director that was told to stop owes nothing any more and nothing more can come."""
-    return now - stopping_since >= LEAST_STAY_MS + STAY_SLACK_MS and unanswered == 0
--- a/foxlift/platform/transport.py
+++ b/foxlift/platform/transport.py
@@ -18,6 +18,7 @@
 from foxlift.platform import feed, limits, lines, rtsp, viewers
 from foxlift.platform.core import Core
 from foxlift.platform.settings import Address, Config, ConfigError, read
+from foxlift.platform.stop import Owed, State, Step, Stop
 
 MOST_UNSENT = 256 * 1024  # bytes written and not taken by the other side
 HIGH_WATER = 64 * 1024  # bytes unsent above which the other side is not read from
@@ -69,7 +70,7 @@
         """Bytes from the viewer."""
         if self.transport is None or self.transport.is_closing():
             return
-        waited = self._director.lag()
+        waited = self._director.viewer_read()
         try:
             for line in self._reader.feed(data):
                 message = viewers.read_line(line)
@@ -242,7 +243,8 @@
         self._to_send: dict[int, deque[bytes]] = {}
         self._connecting: asyncio.Task[None] | None = None
         self._server: asyncio.Server | None = None
-        self._stopping_since = 0.0
+        self._stop = Stop(klass.deadline_ms for klass in config.module.classes)
+        self._heard = 0  # connections from viewers and reads on them
         self._summary_at = self.timeline.now() + SUMMARY_MS
 
     # ---- Life ---------------------------------------------------------------------------------------------
@@ -283,16 +285,38 @@
 
     def stop(self) -> None:
         """SIGTERM: go on until nothing is owed and nothing more can come."""
-        if not self._stopping_since:
-            self._stopping_since = self.timeline.now()
+        if self._stop.told(self.timeline.now()):
             self.log.say("stopping", f"{self.core.unanswered} set-ups unanswered")
 
+    def _look(self) -> None:
+        """A stopping director's look at what it owes."""
+        match self._stop.look(self.timeline.now(), self._owed()):
+            case Step.ANSWER:
+                self.tell(ev.LastAnswers())
+                self._loop.call_soon(self._look)
+            case Step.LOOK:
+                self._loop.call_soon(self._look)
+            case Step.END:
+                if self._server is not None:
+                    self._server.close()
+                self.ended.set_result(None)
+            case Step.WAIT:
+                pass
+
+    def _owed(self) -> Owed:
+        parties: list[ViewerConnection | BoxConnection] = [*self._viewers.values(), *self._boxes.values()]
+        written = sum(at.transport.get_write_buffer_size() for at in parties if at.transport is not None)
+        kept = sum(len(waiting) for waiting in self._to_send.values())
+        return Owed(self.core.unanswered, written + kept, self._heard)
+
     def lag(self) -> float:
         """How long what is read now may have lain unread, ms."""
         return self._lag.look(self._loop.time() * 1000)
 
     def _tick(self) -> None:
         self.timeline.later(TICK_MS, self._tick)  # first: a fault below must not be the last look
+        if self._stop.state is not State.LOOKING:  # it looks again by itself then
+            self._look()
         now = self.timeline.now()
         for number in self.doors.overdue(now):
             self.count["viewer overdue"] += 1
@@ -305,9 +329,6 @@
         if now >= self._summary_at:
             self._summary_at = now + SUMMARY_MS
             self.log.say("so far", self.last_line())
-        stopping = self._stopping_since
-        if stopping and limits.may_end(now, stopping, self.core.unanswered) and not self.ended.done():
-            self.ended.set_result(None)
 
     def _stalled(self, late_ms: float) -> None:
         self.count["stalls"] += 1
@@ -402,6 +423,7 @@
     # ---- Viewers ------------------------------------------------------------------------------------------
     def viewer_opened(self, viewer: ViewerConnection) -> int:
         """A connection came; its number."""
+        self._heard += 1
         self._last_viewer += 1
         self._viewers[self._last_viewer] = viewer
         shut = self.doors.opened(self.timeline.now(), self._last_viewer)
@@ -409,6 +431,11 @@
             self._viewers[shut].close()
         return self._last_viewer
 
+    def viewer_read(self) -> float:
+        """Bytes of a viewer are read; how long they may have lain unread, ms."""
+        self._heard += 1
+        return self.lag()
+
     def viewer_heard(self, number: int, proven: bool, half: bool) -> None:
         """Bytes came on a connection."""
         self.doors.heard(self.timeline.now(), number, proven, half)
--- /dev/null
+++ b/tests/test_platform_crossings.py
@@ -0,0 +1,183 @@
+"""Two events that cross at a platform director, each forced on loopback sockets.
+
+What is ready in one turn of the loop is made ready in one turn: bytes go into the machine's buffers by calls
+that do not wait, and then the director's own timer is run by hand. All pairs: `docs/design/crossings.md`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from platform_world import config, member, settings
+from test_platform_sockets import Scene, deafened, free_address, name, play, process, scene, unsent
+
+from foxlift.platform import stop
+from foxlift.standins.platform import StandInBox, StandInCoordinator, Viewer, rtsp_answer, start_line
+
+
+def push(viewer: Viewer, data: bytes) -> None:
+    """Into the machine's buffers at once, not by the loop."""
+    assert os.write(viewer.writer.get_extra_info("socket").fileno(), data) == len(data)
+
+
+def connected(world: Scene, data: bytes = b"") -> socket.socket:
+    """A connection in the accept queue, with bytes behind it, before the loop looks."""
+    host, _, port = world.address.rpartition(":")
+    made = socket.create_connection((host, int(port)))
+    made.sendall(data)
+    made.setblocking(False)
+    return made
+
+
+async def lines_of(sock: socket.socket, until: Callable[[dict[str, Any]], bool]) -> list[dict[str, Any]]:
+    """Messages on a bare socket up to one; all there are where the connection ends first."""
+    reader, _ = await asyncio.open_connection(sock=sock)
+    found: list[dict[str, Any]] = []
+    while line := await reader.readline():
+        found.append(json.loads(line))
+        if until(found[-1]):
+            break
+    return found
+
+
+def at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A stop need not wait for requests that are still on their way: those of a test are not."""
+    monkeypatch.setattr(stop, "STAY_SLACK_MS", -stop.ARRIVE_MS)
+
+
+# ---- Stop -------------------------------------------------------------------------------------------------
+def test_requests_in_the_machines_buffers_as_a_stop_ends_are_answered(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    at_once(monkeypatch)
+
+    async def test() -> None:
+        async with scene(tmp_path) as world:
+            viewer = await world.viewer()
+            viewer.send(start_line(name(1)))
+            assert await viewer.answer(name(1))
+            world.director.stop()
+            push(viewer, start_line(name(2)))  # unread
+            queued = connected(world, start_line(name(3)))  # not accepted
+            world.director._tick()  # nothing is owed by what was read
+            await world.director.ended
+            await world.director.close()
+            answer = await viewer.answer(name(2))
+            assert answer is not None and answer["verb"] == "STARTED"
+            assert [m["verb"] for m in await lines_of(queued, lambda m: True)] == ["STARTED"]
+
+    play(test)
+
+
+def test_a_stop_waits_for_a_viewer_that_reads_slowly(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    at_once(monkeypatch)
+
+    async def test() -> None:
+        async with scene(tmp_path) as world:
+            deaf, echo = await deafened(world)
+            deaf.writer.write(echo * 20 + start_line(name(2), opts={"left": "60000"}))
+            world.director.stop()
+            world.director._tick()
+            for _ in range(4 * stop.LOOKS):  # turns of the loop, enough for an end
+                await asyncio.sleep(0)
+            assert unsent(world) and not world.director.ended.done()
+            deaf.reader._transport.resume_reading()  # type: ignore[attr-defined]
+            answer = await deaf.answer(name(1))
+            while answer is not None and answer["tag"] == name(1):
+                answer = await deaf.read()
+            assert answer is not None and (answer["tag"], answer["verb"]) == (name(2), "STARTED")
+            await world.director.ended
+
+    play(test)
+
+
+@pytest.mark.parametrize(("klass", "cause"), [("paid", 41), ("free", 34)])
+def test_what_has_no_answer_shortly_before_the_kill_gets_one(tmp_path: Path, klass: str, cause: int) -> None:
+    long = settings()["categories"]
+    for entry in long:
+        entry["deadline_ms"] = 60_000.0
+
+    async def test() -> None:
+        async with scene(tmp_path, boxes=1, categories=long) as world:
+            viewer = await world.viewer()
+            [box] = world.boxes
+            box.behave = lambda tag, body, writer: True  # never answers
+            viewer.send(start_line(name(1), klass, opts={"left": "60000"}))
+            await box.until(lambda: "SETUP" in box.methods(name(1)))
+            world.director.stop()
+            world.director._stop._since -= world.director._stop.killed_after_ms - stop.LAST_ANSWERS_MS
+            world.director._tick()
+            answer = await viewer.answer(name(1))
+            assert answer is not None and (answer["verb"], answer["rc"]) == ("FINISH", cause)
+            await box.until(lambda: "TEARDOWN" in box.methods(name(1)))
+            await world.director.ended
+            assert not world.director.core.sizes()["attempts"]
+
+    play(test)
+
+
+def test_told_to_stop_in_the_middle_of_its_start_it_has_taken_nothing_and_ends(tmp_path: Path) -> None:
+    file, address = tmp_path / "config.json", free_address()
+    os.mkfifo(file)
+    env = dict(os.environ, BALANCER_CONFIG=str(file))
+    director = subprocess.Popen([sys.executable, "-m", "foxlift.platform"], env=env)
+    with open(file, "wb"):  # it opens the file: the process is in its start
+        director.send_signal(signal.SIGTERM)
+        assert director.wait(timeout=30) in (0, -signal.SIGTERM)
+    host, _, port = address.rpartition(":")
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection((host, int(port)))
+
+
+def test_told_twice_to_stop_and_to_reload_meanwhile_it_goes_on_until_all_is_answered(tmp_path: Path) -> None:
+    async def test() -> None:
+        box, feed = await StandInBox().start(), await StandInCoordinator().start()
+        later, address = await StandInCoordinator().start(), free_address()
+        out: list[tuple[str, bytes, asyncio.StreamWriter]] = []
+
+        def hold(tag: str, body: bytes, writer: asyncio.StreamWriter) -> bool:
+            out.append((tag, body, writer))
+            return True
+
+        box.behave = hold
+        members = [member(1, box.address)]
+        director = process(tmp_path, config(members, feed.address, listen=address))
+        assert director.stderr is not None
+        loop = asyncio.get_running_loop()
+        assert b"serving" in await loop.run_in_executor(None, director.stderr.readline)
+        viewer = await Viewer.connect(address)
+        viewer.send(start_line(name(1), "paid", opts={"left": "60000"}))
+        await box.until(lambda: bool(out))
+        director.send_signal(signal.SIGTERM)
+        assert b"stopping" in await loop.run_in_executor(None, director.stderr.readline)
+        director.send_signal(signal.SIGTERM)
+        (tmp_path / "config.json").write_bytes(config(members, later.address, listen=address))
+        director.send_signal(signal.SIGHUP)
+        await later.connected.wait()
+        [(tag, body, writer)] = out
+        writer.write(rtsp_answer(200, tag, b"box\r\n" + body))
+        answer = await viewer.answer(tag)
+        assert answer is not None and answer["verb"] == "STARTED"
+        # a reload that comes at any moment of the end is no end of its own
+        while director.poll() is None:
+            director.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0)
+        text = await loop.run_in_executor(None, director.stderr.read)
+        assert director.returncode == 0 and b"exception" not in text and b"ended: asked 1" in text
+        assert text.count(b"stopping") == 0
+        director.stderr.close()
+        feed.stop()
+        later.stop()
+        await box.stop()
+
+    play(test)
--- a/tests/test_platform_lines.py
+++ b/tests/test_platform_lines.py
@@ -10,7 +10,7 @@
 from foxlift import interface as fl
 from foxlift.decide.driver import Driver
 from foxlift.logic import Director
-from foxlift.platform import feed, limits, lines, releases
+from foxlift.platform import feed, limits, lines, releases, stop
 from foxlift.platform.releases import Releases, Write
 from foxlift.platform.settings import Address, read
 from foxlift.standins.platform import frame, record
@@ -384,11 +384,66 @@
     assert doors.overdue(9000) == []
 
 
+DEADLINES = (1500.0, 60_000.0)  # the longest counts as 3 s
+
+
+def looked(at: stop.Stop, now: float, *owed: int) -> list[stop.Step]:
+    """The looks one after another, up to one that waits or ends."""
+    steps = [at.look(now, stop.Owed(*owed))]
+    while steps[-1] is stop.Step.LOOK:
+        steps.append(at.look(now, stop.Owed(*owed)))
+    return steps
+
+
 @pytest.mark.parametrize(
     ("waited", "unanswered", "ends"), [(600, 0, False), (949, 0, False), (950, 1, False), (950, 0, True)]
 )
 def test_a_stop_waits_for_late_requests_and_for_answers(waited: float, unanswered: int, ends: bool) -> None:
-    assert limits.may_end(1000 + waited, 1000, unanswered) is ends
+    at = stop.Stop(DEADLINES)
+    assert at.told(1000)
+    assert (looked(at, 1000 + waited, unanswered, 0, 7)[-1] is stop.Step.END) is ends
+    assert not at.told(1000 + waited)  # told twice is told once
+
+
+def test_a_stop_looks_at_the_sockets_again_and_stays_for_what_it_finds() -> None:
+    at = stop.Stop(DEADLINES)
+    at.told(0)
+    assert at.look(1000, stop.Owed(0, 0, 7)) is stop.Step.LOOK
+    for heard in (8, 9, 10, 11, 12, 13):  # something comes at each look
+        assert at.look(1000, stop.Owed(0, 0, heard)) is stop.Step.LOOK
+    assert at.look(1001, stop.Owed(1, 0, 14)) is stop.Step.WAIT  # and one of them was a request
+    assert at.state is stop.State.STAYING
+    steps = looked(at, 1100, 0, 0, 15)
+    assert steps == [stop.Step.LOOK] * stop.LOOKS + [stop.Step.END]  # the first has news of a read
+
+
+def test_a_stop_waits_for_what_is_written_to_be_taken_and_never_past_the_kill() -> None:
+    at = stop.Stop(DEADLINES)
+    at.told(0)
+    assert at.killed_after_ms == 3700
+    assert looked(at, 3500 - 1, 0, 90, 7) == [stop.Step.WAIT]
+    assert looked(at, 3500, 2, 90, 7) == [stop.Step.ANSWER]
+    assert looked(at, 3500, 0, 90, 7) == [stop.Step.WAIT]
+    assert looked(at, 3600, 0, 90, 8)[-1] is stop.Step.END
+
+
+@pytest.mark.parametrize("deadline", [100.0, 900.0, 3000.0, 60_000.0])
+def test_a_stop_ends_before_the_kill_whatever_the_settings_deadlines_and_whatever_comes(
+    deadline: float,
+) -> None:
+    at = stop.Stop([deadline, 50.0])
+    at.told(0)
+    now, heard = 0.0, 0
+    while at.state is not stop.State.ENDED:
+        now, heard = now + 100, heard + 1  # a flood that never ends and a viewer that never reads
+        unanswered = 1
+        while (step := at.look(now, stop.Owed(unanswered, 70_000, heard))) in (
+            stop.Step.ANSWER,
+            stop.Step.LOOK,
+        ):
+            unanswered = 0
+    assert min(deadline, 3000) + 500 <= now < min(deadline, 3000) + 700
+    assert step is stop.Step.END
 
 
 @pytest.mark.parametrize("descriptors", [64, 256, 384, 1024])
