A request whose client left while it waited is not sent on: a look before each send

Cause, read in transport.line and ViewerConnection and forced on loopback sockets: a set-up was written in the turn in which it got its connection, though its viewer's take-back, end of stream or reset lay unread behind it (after a stall for as long as that lasted). An end of stream was heard only when all was written, if ever: the transport closes itself but tells its end after that. A viewer not read from was not heard leaving either, and a connection that the director closes kept its waiting requests for up to a second.

Change: what has a connection leaves after a whole look at the sockets; an end of stream and a close of ours take the connection's requests back at once; a viewer that does not read is read from while a set-up of it is open.

--- a/foxlift/platform/core.py
+++ b/foxlift/platform/core.py
@@ -111,6 +111,10 @@
         """Set-ups taken and not answered."""
         return sum(len(numbers) for numbers in self._by_conn.values())
 
+    def open_on(self, conn: int) -> int:
+        """Set-ups of a viewer's connection that are taken and not answered."""
+        return len(self._by_conn.get(conn, ()))
+
     def sizes(self) -> dict[str, int]:
         """Entries in each table."""
         return {
--- a/foxlift/platform/transport.py
+++ b/foxlift/platform/transport.py
@@ -11,6 +11,7 @@
 import time
 from collections import Counter, deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import cast
 
 from foxlift.director.timeline import Timeline
@@ -59,6 +60,7 @@
         self._reader = viewers.Reader()
         self.number = 0
         self.transport: asyncio.Transport | None = None
+        self._full = self._rests = False  # more is unsent than may be; it is not read from
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """A viewer connected."""
@@ -87,19 +89,35 @@
         if self._reader.pending:
             self._director.viewer_heard(self.number, False, True)
 
+    def eof_received(self) -> None:
+        """The viewer left. The transport closes by itself, but not before all is written, if it ever is."""
+        self._director.viewer_left(self.number)
+
     def pause_writing(self) -> None:
-        """The viewer does not read: it is not read from either."""
-        if self.transport is not None:
-            self.transport.pause_reading()
+        """The viewer does not read: it is not read from either, once nothing of its asking is open."""
+        self._full = True
+        self._director.full.add(self)
+        self.rest()
+
+    def rest(self) -> None:
+        """Read no more where too much is unsent, unless it has a set-up open that it may still take back."""
+        if self._full and not self._rests and self.transport and not self.transport.is_closing():
+            self._rests = not self._director.core.open_on(self.number)
+            if self._rests:
+                self.transport.pause_reading()
 
     def resume_writing(self) -> None:
         """It reads again."""
-        if self.transport is not None and not self.transport.is_closing():
+        self._full = False
+        self._director.full.discard(self)
+        if self._rests and self.transport is not None and not self.transport.is_closing():
             self.transport.resume_reading()
+        self._rests = False
 
     def connection_lost(self, error: Exception | None) -> None:
         """The connection is over."""
         self.transport = None
+        self._director.full.discard(self)
         self._director.viewer_closed(self.number)
 
     def send(self, data: bytes) -> bool:
@@ -115,10 +133,11 @@
         return True
 
     def close(self) -> None:
-        """Close after what is written; cut off where the viewer does not take it."""
+        """Read no more and close after what is written; cut off where the viewer does not take it."""
         if self.transport is not None and not self.transport.is_closing():
             self.transport.close()
             self._director.timeline.later(CLOSE_MS, self.abort)
+            self._director.viewer_left(self.number)
 
     def abort(self) -> None:
         """Cut the connection."""
@@ -220,6 +239,15 @@
             self._director.tell_feed(feed.Closed())
 
 
+@dataclass(frozen=True, slots=True)
+class Leaving:
+    """A set-up that has a connection to its box and leaves after a look at the sockets."""
+
+    node: int
+    conn: int
+    key: int
+
+
 class PlatformDirector:
     """Everything of one director that touches the outside."""
 
@@ -236,11 +264,13 @@
         self._feed = feed.Feed(config.coordinator, config.known_number, config.seed)
         self._viewers: dict[int, ViewerConnection] = {}
         self._last_viewer = 0
+        self.full: set[ViewerConnection] = set()  # that do not read what is written to them
         self._lines: dict[int, lines.Line] = {}
         self._addresses: dict[int, Address] = {}
         self._boxes: dict[tuple[int, int], BoxConnection] = {}
         self._opening: dict[tuple[int, int], asyncio.Task[None]] = {}
         self._to_send: dict[int, deque[bytes]] = {}
+        self._leaving: list[Leaving] = []
         self._connecting: asyncio.Task[None] | None = None
         self._server: asyncio.Server | None = None
         self._stop = Stop(klass.deadline_ms for klass in config.module.classes)
@@ -379,6 +409,8 @@
         self.lag()
         for action in self.core.handle(self.timeline.now(), event):
             self._carry_out(action)
+        for viewer in tuple(self.full):
+            viewer.rest()
         self._lag.done(time.monotonic() * 1000)
 
     def _carry_out(self, action: ev.Action) -> None:
@@ -440,11 +472,15 @@
         """Bytes came on a connection."""
         self.doors.heard(self.timeline.now(), number, proven, half)
 
+    def viewer_left(self, number: int) -> None:
+        """Nothing more will be heard on a connection, though it may still be written to."""
+        self.doors.closed(number)
+        self.tell(ev.ViewerGone(number))
+
     def viewer_closed(self, number: int) -> None:
         """A connection is over."""
-        self.doors.closed(number)
         if self._viewers.pop(number, None) is not None:
-            self.tell(ev.ViewerGone(number))
+            self.viewer_left(number)
 
     # ---- Boxes --------------------------------------------------------------------------------------------
     def line(self, node: int, event: lines.Event) -> None:
@@ -457,7 +493,7 @@
                 case lines.Open(conn, within_ms):
                     self._open_box(node, conn, within_ms)
                 case lines.Use(conn, key):
-                    self._use(node, conn, key)
+                    self._leave_soon(Leaving(node, conn, key))
                 case lines.Unreached(key):
                     self.tell(ev.Unreached(key, node))
                 case lines.Ping(conn):
@@ -504,6 +540,22 @@
         for data in waiting or ():
             box.send(data)
 
+    def _leave_soon(self, leaving: Leaving) -> None:
+        """Write the set-up, but only when all is read that its viewer may have said by now.
+
+        Its take-back or end may be in the same turn of the loop, behind what made the set-up leave; an end
+        that came together with the request itself is read a turn later than it. The loop reads its sockets
+        between a call and the call that it asks for, so the second call is behind a whole look.
+        """
+        self._leaving.append(leaving)
+        if len(self._leaving) == 1:
+            self._loop.call_soon(self._loop.call_soon, self._leave)
+
+    def _leave(self) -> None:
+        leaving, self._leaving = self._leaving, []
+        for each in leaving:
+            self._use(each.node, each.conn, each.key)
+
     def _use(self, node: int, conn: int, key: int) -> None:
         box = self._boxes.get((node, conn))
         if box is None or box.transport is None or box.transport.is_closing():
--- a/tests/test_platform_crossings.py
+++ b/tests/test_platform_crossings.py
@@ -11,6 +11,7 @@
 import os
 import signal
 import socket
+import struct
 import subprocess
 import sys
 from collections.abc import Callable
@@ -19,10 +20,28 @@
 
 import pytest
 from platform_world import config, member, settings
-from test_platform_sockets import Scene, deafened, free_address, name, play, process, scene, unsent
+from test_platform_sockets import (
+    Scene,
+    deafen,
+    deafened,
+    free_address,
+    held,
+    name,
+    play,
+    process,
+    scene,
+    unsent,
+)
 
 from foxlift.platform import stop
-from foxlift.standins.platform import StandInBox, StandInCoordinator, Viewer, rtsp_answer, start_line
+from foxlift.standins.platform import (
+    StandInBox,
+    StandInCoordinator,
+    Viewer,
+    finish_line,
+    rtsp_answer,
+    start_line,
+)
 
 
 def push(viewer: Viewer, data: bytes) -> None:
@@ -181,3 +200,233 @@
         await box.stop()
 
     play(test)
+
+
+# ---- A client that left while it waited -------------------------------------------------------------------
+class Leaver:
+    """A viewer on a bare socket: what it does has happened when the call returns."""
+
+    def __init__(self, world: Scene) -> None:
+        self.sock = connected(world)
+
+    def send(self, data: bytes) -> None:
+        self.sock.sendall(data)
+
+    def leave(self, how: str) -> None:
+        match how:
+            case "take-back":
+                self.send(finish_line(name(1)))
+            case "end of stream":
+                self.sock.shutdown(socket.SHUT_WR)
+            case "reset":
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                self.sock.close()
+
+
+left_by = pytest.mark.parametrize("leave", ["take-back", "end of stream", "reset"])
+
+
+async def fill(world: Scene, deaf: Viewer) -> None:
+    """A viewer that does not read, with so much unsent that it would not be read from."""
+    echo = await deafen(world, deaf)
+    [connection] = held(world)
+    while not connection._full:
+        deaf.writer.write(echo)
+        await asyncio.sleep(0)
+
+
+async def served(world: Scene, number: int) -> None:
+    """Whoever comes later is served: what was to be sent before it has been sent by then."""
+    later = await world.viewer()
+    later.send(start_line(name(number)))
+    answer = await later.answer(name(number))
+    assert answer is not None and answer["verb"] == "STARTED"
+
+
+def sent(world: Scene, number: int) -> int:
+    return sum(box.methods(name(number)).count("SETUP") for box in world.boxes)
+
+
+def stands_still(world: Scene, first: Callable[[], None]) -> asyncio.Event:
+    """The next bytes of a viewer find the loop busy: what happens meanwhile is ready in one turn."""
+    done = asyncio.Event()
+    read = world.director.viewer_read
+
+    def busy() -> float:
+        world.director.viewer_read = read  # type: ignore[method-assign]
+        first()
+        done.set()
+        return read()
+
+    world.director.viewer_read = busy  # type: ignore[method-assign]
+    return done
+
+
+@left_by
+def test_left_together_with_the_request_while_the_loop_stood_still(tmp_path: Path, leave: str) -> None:
+    async def test() -> None:
+        async with scene(tmp_path, boxes=1) as world:
+            viewer, other = Leaver(world), await world.viewer()
+            other.send(start_line(name(8)))
+            assert await other.answer(name(8))
+
+            def meanwhile() -> None:
+                viewer.send(start_line(name(1), "paid"))
+                viewer.leave(leave)
+
+            done = stands_still(world, meanwhile)
+            other.send(start_line(name(9)))
+            assert await other.answer(name(9)) and done.is_set()
+            await served(world, 2)
+            assert sent(world, 1) == 0
+
+    play(test)
+
+
+@left_by
+def test_left_in_the_turn_in_which_another_box_is_tried(tmp_path: Path, leave: str) -> None:
+    async def test() -> None:
+        async with scene(tmp_path) as world:
+            viewer, other = Leaver(world), await world.viewer()
+            k = 10
+            while not all(box.writers for box in world.boxes):  # each has a connection that is free
+                other.send(start_line(name(k), title=name(k)))
+                assert await other.answer(name(k))
+                k += 1
+            tried: list[str] = []
+
+            def refuse(tag: str, body: bytes, writer: asyncio.StreamWriter) -> bool:
+                if tag != name(1) or tried:
+                    return False
+                tried.append(tag)
+                # the refusal and the leaving lie in the machine's buffers before the director looks again
+                assert os.write(writer.get_extra_info("socket").fileno(), rtsp_answer(453, tag))
+                viewer.leave(leave)
+                return True
+
+            for box in world.boxes:
+                box.behave = refuse
+            viewer.send(start_line(name(1)))
+            while not tried:
+                await asyncio.sleep(0)
+            await served(world, 2)
+            assert sent(world, 1) == 1
+
+    play(test)
+
+
+@left_by
+def test_left_while_the_connection_to_its_box_was_opening(tmp_path: Path, leave: str) -> None:
+    async def test() -> None:
+        async with scene(tmp_path, boxes=1, limits__connect_timeout_ms=20_000.0) as world:
+            loop, open_now = asyncio.get_running_loop(), asyncio.Event()
+            connect = world.director._connect_box
+
+            async def late(node: int, conn: int, address: Any) -> None:
+                await open_now.wait()
+                await connect(node, conn, address)
+
+            world.director._connect_box = late  # type: ignore[method-assign]
+            viewer = Leaver(world)
+            viewer.send(start_line(name(1), "paid", opts={"left": "60000"}))
+            while not world.director._opening:
+                await asyncio.sleep(0)
+            viewer.leave(leave)
+            loop.call_soon(open_now.set)
+            await served(world, 2)
+            assert sent(world, 1) == 0
+
+    play(test)
+
+
+@left_by
+def test_left_behind_another_on_a_full_box(tmp_path: Path, leave: str) -> None:
+    async def test() -> None:
+        async with scene(tmp_path, boxes=1, sockets=64, limits__max_streams=1) as world:
+            [box] = world.boxes
+            world.director._lines[1].most = 1
+            out: list[tuple[bytes, asyncio.StreamWriter]] = []
+
+            def hold(tag: str, body: bytes, writer: asyncio.StreamWriter) -> bool:
+                if tag == name(7):
+                    out.append((body, writer))
+                return tag == name(7)
+
+            box.behave = hold
+            first, viewer = await world.viewer(), Leaver(world)
+            first.send(start_line(name(7), opts={"left": "60000"}))
+            await box.until(lambda: bool(out))
+            viewer.send(start_line(name(1), "paid", opts={"left": "60000"}))
+            while not world.director._lines[1].waiting:
+                await asyncio.sleep(0)
+            viewer.leave(leave)
+            [(body, writer)] = out
+            os.write(writer.get_extra_info("socket").fileno(), rtsp_answer(200, name(7), b"box\r\n" + body))
+            await served(world, 2)
+            assert sent(world, 1) == 0
+
+    play(test)
+
+
+@pytest.mark.parametrize("leave", ["take-back", "end of stream"])
+def test_left_while_its_answers_were_not_read(tmp_path: Path, leave: str) -> None:
+    async def test() -> None:
+        async with scene(tmp_path, boxes=1, limits__connect_timeout_ms=20_000.0) as world:
+            open_now = asyncio.Event()
+            connect = world.director._connect_box
+
+            async def late(node: int, conn: int, address: Any) -> None:
+                await open_now.wait()
+                await connect(node, conn, address)
+
+            world.director._connect_box = late  # type: ignore[method-assign]
+            deaf = await world.viewer()
+            deaf.send(start_line(name(1), "paid", opts={"left": "60000"}))
+            while not world.director._opening:
+                await asyncio.sleep(0)
+            await fill(world, deaf)
+            if leave == "take-back":
+                push(deaf, finish_line(name(1)))
+            else:
+                with socket.socket(fileno=os.dup(deaf.writer.get_extra_info("socket").fileno())) as far:
+                    far.shutdown(socket.SHUT_WR)
+            [opening] = held(world)
+            while world.director.core.open_on(opening.number):
+                await asyncio.sleep(0)
+            counts = world.director.core.counts  # it was heard, and not answered or shut in the end
+            assert counts["given up"] + counts["left with its connection"] == 1
+            assert world.director.count["viewer overdue"] == 0
+            open_now.set()
+            await served(world, 2)
+            assert sent(world, 1) == 0
+            deaf.writer.transport.abort()
+
+    play(test)
+
+
+def test_a_connection_that_is_closed_for_its_noise_takes_its_waiting_requests_with_it(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path, boxes=1, limits__connect_timeout_ms=20_000.0) as world:
+            open_now = asyncio.Event()
+            connect = world.director._connect_box
+
+            async def late(node: int, conn: int, address: Any) -> None:
+                await open_now.wait()
+                await connect(node, conn, address)
+
+            world.director._connect_box = late  # type: ignore[method-assign]
+            deaf = await world.viewer()
+            deaf.send(start_line(name(1), "paid", opts={"left": "60000"}))
+            while not world.director._opening:
+                await asyncio.sleep(0)
+            await fill(world, deaf)  # so its connection lasts past its close, for what is unsent
+            push(deaf, b"noise\n")
+            while world.director.core.unanswered:
+                await asyncio.sleep(0)
+            assert held(world)
+            open_now.set()
+            await served(world, 2)
+            assert sent(world, 1) == 0
+            deaf.writer.transport.abort()
+
+    play(test)
--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -209,6 +209,11 @@
     the director would have dropped the viewer, and the wait for its full buffer would never end.
     """
     deaf = await world.viewer()
+    return deaf, await deafen(world, deaf)
+
+
+async def deafen(world: Scene, deaf: Viewer) -> bytes:
+    """The only viewer there reads no more, and has asked so much that answers are unsent; what it asks."""
     echo = b'{"verb":"ECHO","tag":"%s","opts":{},"rc":0}\n' % name(1).encode() * 100
     deaf.send(echo)
     await deaf.answer(name(1))
@@ -222,7 +227,7 @@
         assert held(world), "dropped"
         deaf.writer.write(echo)
         await asyncio.sleep(0)
-    return deaf, echo
+    return echo
 
 
 def unsent(world: Scene) -> int:
