Boxes: what is owed leaves, dead connections pass set-ups on, gone boxes come back

Cause, read line by line and forced on loopback sockets: - lines.Reach did nothing while a connection was opening, and when that failed nobody opened the next: a release owed to a box stayed for ever. - transport._use handed all that waited to one dead connection, each then Unreached or lost with a paid set-up in it. - a box gone and listed again before its line was dropped kept `gone`: its line was dropped while listed, and every later set-up there was unreached; at another address its old connections went on being used. - a connection still opening to a gone box came up at the next box of that address, under the old id. - a connection was registered a turn after it was made: its first bytes and its end came before.

Change: a line owes until a connection is up (waits grow to 4 s; void where the process refuses or is gone); a set-up whose connection is dead wants another; Gone shuts what is opening; Listed brings a line back and retires old connections; a connection registers itself when it is made.

Measured (loopback): the four new crossings fail without it (missing STARTED, 'SETUP' in [], a connection of the old id, TimeoutError) and pass with it; 60 tests of lines pass.

--- a/foxlift/platform/core.py
+++ b/foxlift/platform/core.py
@@ -182,6 +182,10 @@
         body = session.description.encode()
         return rtsp.set_up(session.tag, session.title, klass, session.rung, int(within), body)
 
+    def waits(self, number: int, node: int) -> bool:
+        """Whether an attempt of the request at that very box has still to leave."""
+        return self._waiting(number, node) is not None
+
     def _waiting(self, number: int, node: int) -> _Session | None:
         """The session, where an attempt of it at that very box has still to leave."""
         session = self.sessions.get(number)
--- a/foxlift/platform/limits.py
+++ b/foxlift/platform/limits.py
@@ -135,4 +135,3 @@
     def done(self, now: float) -> None:
         """Some work of the round is finished."""
         self.done_at = now
-
--- a/foxlift/platform/lines.py
+++ b/foxlift/platform/lines.py
@@ -9,6 +9,8 @@
     UP          ping not answered         (none)   shut: what is out on it is lost
     UP          Down                      (none)   open another if sessions play there
     UP          idle for long             (none)   retire, before the box does while a set-up is being written
+    any         Owes, none there          OPENING  open one, and again until one is up: a release must leave
+    OPENING     Gone                      (none)   shut: what answers there may be another box by now
 
 One set-up at a time leaves on a connection while there is room for more connections: an answer that cannot
 be read spoils all that is out on its connection, and so costs one session only.
@@ -27,6 +29,7 @@
 PONG_WITHIN_MS = 900.0  # a test is passed at once by a box that lives, however slow its set-ups are
 LOST_MS = 5000.0  # silence after which what played there is over; viewers are owed word within 8 s of an end
 REOPEN_MS = 250.0  # between tries to reach a silent box that sessions play on
+LONGEST_REOPEN_MS = 4000.0  # the same for what only waits to be sent
 CONNECT_MS = 1000.0  # for a connection to come up, where the settings name no time
 IDLE_PART = 0.6  # of the box's own idle time: after that this side closes first
 
@@ -48,7 +51,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Reach:
-    """Something that belongs to no set-up is to be sent: a connection is wanted."""
+    """Something that belongs to no set-up is to be sent: a connection is wanted until one is up."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,12 +95,19 @@
     """The list says that the box is no more."""
 
 
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """The list names the box, maybe again; `moved`: at another address than before."""
+
+    moved: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     """Time has passed."""
 
 
-Event = Want | Unwant | Reach | Up | Down | Heard | Freed | Standing | Gone | Tick
+Event = Want | Unwant | Reach | Up | Down | Heard | Freed | Standing | Gone | Listed | Tick
 
 
 # ---- Actions ----------------------------------------------------------------------------------------------
@@ -152,7 +162,12 @@
     why: str
 
 
-Action = Open | Use | Unreached | Ping | Shut | Retire | Lost
+@dataclass(frozen=True, slots=True)
+class Void:
+    """What was to be sent there concerns nothing any more: the process that it was for is gone."""
+
+
+Action = Open | Use | Unreached | Ping | Shut | Retire | Lost | Void
 
 
 @dataclass(slots=True)
@@ -163,6 +178,7 @@
     heard_at: float = 0.0
     used_at: float = 0.0
     pinged_at: float = 0.0  # 0: no test is out
+    old: bool = False  # to an address that the box has left: nothing new goes there
 
 
 @dataclass(slots=True)
@@ -179,6 +195,8 @@
     waiting: deque[tuple[int, float]] = field(default_factory=deque)  # set-up, since when
     heard_at: float = 0.0
     tried_at: float = 0.0
+    owes: bool = False  # something waits for any connection
+    tries: int = 0  # of a connection for what it owes, in a row
     _last: int = 0
 
     def handle(self, now: float, event: Event) -> list[Action]:
@@ -198,6 +216,7 @@
                 self.waiting = deque(wait for wait in self.waiting if wait[0] != key)
                 return []
             case Reach():
+                self.owes, self.tries = True, 0
                 return [] if self.conns else [self._open(now)]
             case Up(conn):
                 return self._up(now, conn)
@@ -206,8 +225,9 @@
             case Standing(count):
                 return self._stands(now, count)
             case Gone():
-                self.gone = True
-                return []
+                return self._gone()
+            case Listed(moved):
+                return self._listed(now, moved)
             case Tick():
                 return self._tick(now)
 
@@ -241,11 +261,12 @@
                 conn.up
                 and not conn.out
                 and not conn.pinged_at
+                and not conn.old
                 and now - conn.used_at < self.idle_ms * IDLE_PART
             ):
                 best = name if best is None or conn.heard_at >= self.conns[best].heard_at else best
         if best is None and len(self.conns) >= self.most:
-            ups = [(c.out, name) for name, c in self.conns.items() if c.up and not c.pinged_at]
+            ups = [(c.out, name) for name, c in self.conns.items() if c.up and not c.pinged_at and not c.old]
             best = min(ups)[1] if ups and min(ups)[0] < self.streams else None
         if best is not None:
             return [self._use(now, best, key)]
@@ -266,6 +287,7 @@
         if conn is None:
             return [Shut(name)]
         conn.up, conn.heard_at, conn.used_at = True, now, now
+        self.owes = False
         if self.waiting:
             return [self._use(now, name, self.waiting.popleft()[0])]
         return self._test(now, name, conn) if self.standing else []
@@ -279,7 +301,7 @@
         if conn is None:
             return []
         conn.out = max(conn.out - 1, 0)
-        if self.waiting and conn.up and not conn.pinged_at and conn.out < self.streams:
+        if self.waiting and conn.up and not (conn.pinged_at or conn.old) and conn.out < self.streams:
             return [self._use(now, name, self.waiting.popleft()[0])]
         return []
 
@@ -288,6 +310,9 @@
         if conn is None:
             return []
         actions: list[Action] = []
+        if refused and self.owes and not any(c.up for c in self.conns.values()):
+            self.owes = False
+            actions.append(Void())
         if not conn.up and self.waiting:
             actions.append(Unreached(self.waiting.popleft()[0]))
         if self.standing and not any(c.up for c in self.conns.values()):
@@ -299,6 +324,31 @@
             actions.append(self._open(now))
         return actions
 
+    def _gone(self) -> list[Action]:
+        self.gone = True
+        actions: list[Action] = [Void()] if self.owes else []
+        self.owes = False
+        for name in [name for name, conn in self.conns.items() if not conn.up]:
+            del self.conns[name]
+            actions.append(Shut(name))
+        actions += [Unreached(key) for key, _ in self.waiting]
+        self.waiting.clear()
+        return actions
+
+    def _listed(self, now: float, moved: bool) -> list[Action]:
+        self.gone = False
+        actions: list[Action] = []
+        if moved:
+            for name, conn in list(self.conns.items()):
+                if conn.out:
+                    conn.old = True
+                else:
+                    del self.conns[name]
+                    actions.append(Retire(name) if conn.up else Shut(name))
+            if not any(not conn.old for conn in self.conns.values()) and (self.waiting or self.standing):
+                actions.append(self._open(now))
+        return actions
+
     def _stands(self, now: float, count: int) -> list[Action]:
         first = count and not self.standing
         self.standing = count
@@ -322,13 +372,20 @@
             minds = conn.out or name == listened
             if quiet and minds and not conn.pinged_at:
                 actions += self._test(now, name, conn)
-            if not conn.out and not minds and now - conn.used_at >= self.idle_ms * IDLE_PART:
+            idle = conn.old or (not minds and now - conn.used_at >= self.idle_ms * IDLE_PART)
+            if not conn.out and idle:
                 del self.conns[name]
                 actions.append(Retire(name))
+        wait = REOPEN_MS
         if self.standing:
             if now - self.heard_at >= LOST_MS:
                 self.heard_at = now
-                actions.append(Lost("silent"))
-            elif not self.conns and now - self.tried_at >= REOPEN_MS:
-                actions.append(self._open(now))
+                return [*actions, Lost("silent")]
+            if self.gone and not self.conns:
+                return [*actions, Lost("gone")]
+        elif self.owes:  # nobody waits for it here: less and less often
+            wait = min(REOPEN_MS * 2**self.tries, LONGEST_REOPEN_MS)
+        if (self.standing or self.owes) and not self.conns and now - self.tried_at >= wait:
+            self.tries += 1
+            actions.append(self._open(now))
         return actions
--- a/foxlift/platform/transport.py
+++ b/foxlift/platform/transport.py
@@ -158,6 +158,8 @@
         """The connection is up."""
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=HIGH_WATER)
+        # at once: bytes may come, and its end, before the task that connects hears of it
+        self._director.box_up(self)
 
     def data_received(self, data: bytes) -> None:
         """Bytes from the box."""
@@ -437,8 +439,11 @@
             case ev.ViewerSessions(conn, more):
                 self.doors.sessions(conn, more)
             case ev.BoxListed(node, address):
+                moved = self._addresses.get(node, address) != address
                 self._addresses[node] = address
-                if node not in self._lines:
+                if node in self._lines:
+                    self.line(node, lines.Listed(moved))
+                else:
                     connect_ms = self.config.module.connect_timeout_ms or lines.CONNECT_MS
                     self._lines[node] = lines.Line(connect_ms, self.config.idle_ms, 1, self.config.streams)
                     self._share_out()
@@ -509,6 +514,8 @@
                         self.count["box connections retired"] += 1
                         box.retire()
                         self.timeline.later(RETIRE_MS, box.close)
+                case lines.Void():
+                    self._to_send.pop(node, None)
                 case lines.Lost(why):
                     self.log.say("box lost", f"s-{node:08x}, {why}")
                     self.tell(ev.BoxLost(node, why))
@@ -530,14 +537,15 @@
             self.count["connect refused" if refused else "connect failed"] += 1
             self.line(node, lines.Down(conn, refused))
             return
-        if self._opening.pop((node, conn), None) is None or box.transport is None:
+
+    def box_up(self, box: BoxConnection) -> None:
+        """A connection to a box is made, which may have been given up meanwhile."""
+        if self._opening.pop((box.node, box.number), None) is None:
             box.close()
-            self.line(node, lines.Down(conn))
             return
-        self._boxes[node, conn] = box
-        self.line(node, lines.Up(conn))
-        waiting = self._to_send.pop(node, None)
-        for data in waiting or ():
+        self._boxes[box.node, box.number] = box
+        self.line(box.node, lines.Up(box.number))
+        for data in self._to_send.pop(box.node, ()):
             box.send(data)
 
     def _leave_soon(self, leaving: Leaving) -> None:
@@ -559,8 +567,12 @@
     def _use(self, node: int, conn: int, key: int) -> None:
         box = self._boxes.get((node, conn))
         if box is None or box.transport is None or box.transport.is_closing():
-            self.line(node, lines.Freed(conn))
-            self.tell(ev.Unreached(key, node))
+            if box is not None:
+                self.box_lost(box, spoilt=False)  # its end is known: nobody else is to be sent there
+            if node not in self._lines:
+                self.tell(ev.Unreached(key, node))
+            elif self.core.waits(key, node):  # nothing of it has left, and another connection may be had
+                self.line(node, lines.Want(key))
             return
         data = self.core.take(self.timeline.now(), key, node, conn)
         if data is None:
--- a/tests/test_platform_crossings.py
+++ b/tests/test_platform_crossings.py
@@ -33,12 +33,13 @@
     unsent,
 )
 
-from foxlift.platform import stop
+from foxlift.platform import lines, stop
 from foxlift.standins.platform import (
     StandInBox,
     StandInCoordinator,
     Viewer,
     finish_line,
+    record,
     rtsp_answer,
     start_line,
 )
@@ -430,3 +431,132 @@
             deaf.writer.transport.abort()
 
     play(test)
+
+
+# ---- Boxes ------------------------------------------------------------------------------------------------
+def test_a_set_up_handed_to_a_connection_that_its_box_closes_leaves_on_another(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path, boxes=1, limits__max_streams=1) as world:
+            [box] = world.boxes
+            world.director._lines[1].most = 1
+            out: list[tuple[bytes, asyncio.StreamWriter]] = []
+
+            def hold(tag: str, body: bytes, writer: asyncio.StreamWriter) -> bool:
+                if tag == name(7):
+                    out.append((body, writer))
+                return tag == name(7)
+
+            box.behave = hold
+            viewer = await world.viewer()
+            viewer.send(start_line(name(7), opts={"left": "60000"}))
+            await box.until(lambda: bool(out))
+            for k in (1, 2, 3):
+                viewer.send(start_line(name(k), "paid", opts={"left": "60000"}))
+            while len(world.director._lines[1].waiting) < 3:
+                await asyncio.sleep(0)
+            [(body, writer)] = out
+            # the answer frees the connection for the next set-up, and its end lies right behind it
+            far = writer.get_extra_info("socket")
+            os.write(far.fileno(), rtsp_answer(200, name(7), b"box\r\n" + body))
+            with socket.socket(fileno=os.dup(far.fileno())) as end:
+                end.shutdown(socket.SHUT_WR)
+            told = {(m["tag"], m["verb"]) for m in [await viewer.read() for _ in range(4)] if m}
+            assert told == {(name(k), "STARTED") for k in (7, 1, 2, 3)}
+            assert [sent(world, k) for k in (1, 2, 3)] == [1, 1, 1]
+
+    play(test)
+
+
+def test_a_release_owed_to_a_box_leaves_after_the_connection_it_waited_for_has_failed(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path, boxes=1) as world:
+            [box] = world.boxes
+            director, loop = world.director, asyncio.get_running_loop()
+            viewer = await world.viewer()
+            viewer.send(start_line(name(1)))
+            assert await viewer.answer(name(1))
+            tries: list[asyncio.Future[None]] = []
+            connect = director._connect_box
+
+            async def at_will(node: int, conn: int, address: Any) -> None:
+                tries.append(loop.create_future())
+                try:
+                    await tries[-1]
+                except TimeoutError:
+                    director._opening.pop((node, conn), None)
+                    director.line(node, lines.Down(conn))
+                else:
+                    await connect(node, conn, address)
+
+            director._connect_box = at_will  # type: ignore[method-assign]
+            for writer in box.writers:
+                writer.transport.abort()
+            while not tries:
+                await asyncio.sleep(0)
+            viewer.send(finish_line(name(1), 16))  # while the connection for it is opening
+            while not director._to_send:
+                await asyncio.sleep(0)
+            tries[0].set_exception(TimeoutError())
+            while len(tries) < 2:
+                await asyncio.sleep(0)
+            tries[1].set_result(None)
+            await box.until(lambda: "TEARDOWN" in box.methods(name(1)))
+            assert not director._to_send
+
+    play(test)
+
+
+def test_a_box_that_is_listed_again_after_it_was_gone_is_served_at_its_new_address(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path, boxes=1) as world:
+            await world.feed.connected.wait()
+            viewer = await world.viewer()
+            viewer.send(start_line(name(1)))
+            assert await viewer.answer(name(1))
+            other = await StandInBox().start()
+            world.boxes.append(other)
+            # gone and back in one read, before its line is dropped: its session keeps that
+            world.feed.tell(2, 2, record(1, world.boxes[0].address, state=2))
+            world.feed.tell(3, 2, record(1, other.address))
+            while world.director._feed.number < 3:
+                await asyncio.sleep(0)
+            viewer.send(finish_line(name(1)))
+            for k in (2, 3):
+                world.director._tick()
+                viewer.send(start_line(name(k), "paid"))
+                answer = await viewer.answer(name(k))
+                assert answer is not None and answer["verb"] == "STARTED"
+                assert "SETUP" in other.methods(name(k))
+
+    play(test)
+
+
+def test_what_connects_to_a_gone_box_is_given_up_before_another_answers_at_its_address(
+    tmp_path: Path,
+) -> None:
+    async def test() -> None:
+        async with scene(tmp_path, boxes=1) as world:
+            await world.feed.connected.wait()
+            director, opened = world.director, asyncio.Event()
+            connect = director._connect_box
+
+            async def late(node: int, conn: int, address: Any) -> None:
+                await opened.wait()
+                await connect(node, conn, address)
+
+            director._connect_box = late  # type: ignore[method-assign]
+            viewer = await world.viewer()
+            viewer.send(start_line(name(1), "paid", opts={"left": "60000"}))
+            while not director._opening:
+                await asyncio.sleep(0)
+            world.feed.tell(2, 2, record(2, world.boxes[0].address))  # box 2 at the address of box 1
+            answer = asyncio.ensure_future(viewer.answer(name(1)))
+            while not any(node == 2 for node, _ in director._opening):
+                await asyncio.sleep(0)
+            assert not any(node == 1 for node, _ in director._opening)
+            opened.set()
+            told = await answer
+            assert told is not None and told["verb"] == "STARTED"
+            assert sent(world, 1) == 1 and {node for node, _ in director._boxes} == {2}
+
+    play(test)
--- a/tests/test_platform_lines.py
+++ b/tests/test_platform_lines.py
@@ -560,3 +560,37 @@
         "done Log(text='two')",
         "told Wake(token=2)",
     ]
+
+
+def test_what_is_owed_to_a_box_opens_a_connection_until_one_is_up_or_the_box_is_gone() -> None:
+    box = line(most=1)
+    assert box.handle(0, lines.Want(7)) == [lines.Open(1, 250.0)]
+    assert box.handle(10, lines.Reach()) == []  # one is opening
+    assert box.handle(250, lines.Down(1)) == [lines.Unreached(7)]
+    opened = [now for now in range(300, 20_000, 100) for a in box.handle(now, lines.Tick()) if a in OPENS]
+    assert opened[0] == 300 and len(opened) < 12  # each fails, and waits grow
+    assert box.handle(20_000, lines.Up(box._last)) == [] and not box.owes
+    refused = line()
+    assert refused.handle(0, lines.Reach()) == [lines.Open(1, 250.0)]
+    assert refused.handle(5, lines.Down(1, True)) == [lines.Void()]  # its process is gone, and its sessions
+    assert refused.handle(900, lines.Tick()) == []
+
+
+OPENS = [lines.Open(k, 250.0) for k in range(1, 40)]
+
+
+def test_a_gone_box_is_not_connected_to_and_one_that_is_back_is() -> None:
+    box = line()
+    box.handle(0, lines.Want(7))
+    assert box.handle(1, lines.Gone()) == [lines.Shut(1), lines.Unreached(7)]
+    box.handle(2, lines.Listed(False))
+    assert not box.gone and box.handle(3, lines.Want(8)) == [lines.Open(2, 250.0)]
+    box.handle(4, lines.Up(2))
+    box.handle(5, lines.Want(9))
+    box.handle(6, lines.Up(3))
+    box.handle(7, lines.Freed(3))
+    # at another address now: the idle one goes, the one with a set-up out ends what it has, nothing joins it
+    assert box.handle(8, lines.Listed(True)) == [lines.Retire(3)]
+    assert box.handle(9, lines.Want(10)) == [lines.Open(4, 250.0)]
+    box.handle(10, lines.Freed(2))
+    assert lines.Retire(2) in box.handle(11, lines.Tick())
