Ends that cross a hand-over, a broken connection or a silence are told on both sides

Cause, read line by line: after a start a box sends the ends it owes on the first connection, also of sessions that are handed over a moment later: they were answered 200 and forgotten, and the session stood for ever. Likewise a viewer's release before its hand-over, or while that waits for the list. A release written on a connection that is reset under it was never sent again. A box silent for 5 s had its sessions ended here and left standing there; and a zone back after those 5 s, just before the next look, was heard anew, so that its old sessions counted as alive.

Change: foxlift/platform/farewells.py (no I/O, bounded by number and time) keeps words on unknown sessions and releases that no box has confirmed. A connection that comes up within two looks of the silence's end is too late.

Measured, each guard switched off: box's word 2 tests fail (assert [] == [16]), viewer's word 2, all words 5, not again 1, silent box untold 1, late connection believed 1.

--- a/foxlift/platform/core.py
+++ b/foxlift/platform/core.py
@@ -31,7 +31,9 @@
 from foxlift.decide.driver import Driver, Trace
 from foxlift.logic import Director
 from foxlift.platform import events as ev
+from foxlift.platform import lines as ln
 from foxlift.platform import rtsp, viewers
+from foxlift.platform.farewells import Farewells, Word
 from foxlift.platform.releases import Releases, Write
 from foxlift.platform.settings import Address, Config, Told
 from foxlift.wiresettings import LOAD_FIELDS
@@ -96,6 +98,7 @@
         self._by_tag: dict[str, _Session] = {}
         self._by_conn: dict[int, set[int]] = {}  # open set-ups of a viewer's connection
         self.releases = Releases()
+        self.farewells = Farewells()
         self._handovers: dict[str, tuple[int, viewers.Start]] = {}  # by id: box is not on the list yet
         self._boxes: dict[int, fl.NodeInfo] = {}
         self._addresses: dict[int, Address] = {}  # of boxes listed, and of others that sessions play on
@@ -122,6 +125,7 @@
             "ids": len(self._by_tag),
             "connections": len(self._by_conn),
             "releases": len(self.releases),
+            "farewells": len(self.farewells),
             "handovers": len(self._handovers),
             "boxes": len(self._boxes),
             "attempts": self.attempts.live,
@@ -158,10 +162,14 @@
                     self._lost(number, at.Loss.CONNECT)
             case ev.BoxLost(node, why):
                 self.counts["box lost, " + why] += 1
+                lost = [s.tag for s in self.sessions.values() if s.node == node and s.state is _State.STANDS]
                 self._attempt(at.BoxLost(node))
+                if why == ln.SILENT:  # it may have been cut off and play on for nobody
+                    for tag in lost:
+                        self._farewell(node, 0, tag, rtsp.release(tag, CUT))
             case ev.HandoverDue(tag):
                 found = self._handovers.pop(tag, None)
-                if found is not None:
+                if found is not None and self.farewells.word(now, tag, 0) is None:
                     self.counts["handover without a box"] += 1
                     self._over(found[0], tag, viewers.finish(tag, CUT))
             case ev.LastAnswers():
@@ -242,6 +250,7 @@
             if not (same and held.conn == conn):  # sent twice: its first is answered
                 self._turn_down(conn, start.tag)
             return
+        self.farewells.expire(self._now)
         self._last += 1
         session = _Session(self._last, start.tag, conn, klass, start.title, start.description, _State.ASKED)
         self.sessions[session.number] = self._by_tag[start.tag] = session
@@ -276,6 +285,16 @@
             self._out.append(ev.StartTimer(HANDOVER_MS, ev.HandoverDue(start.tag)))
             self._write(self.releases.asked(self._now, conn))
             return
+        word = self.farewells.word(self._now, start.tag, node)
+        if word is not None:
+            who, cause = word
+            self.counts["handed over after its end"] += 1
+            if who is Word.BOX:
+                self._write(self.releases.asked(self._now, conn))
+                self._over(conn, start.tag, viewers.finish(start.tag, cause))
+            elif who is Word.VIEWER:
+                self._farewell(node, 0, start.tag, rtsp.release(start.tag, cause))
+            return
         klass = self._classes[start.klass]
         tenant = self._tenants.get(start.tenant, 0)
         self._last += 1
@@ -292,10 +311,10 @@
 
     def _finish(self, conn: int, tag: str, cause: int) -> None:
         session = self._by_tag.get(tag)
-        self._handovers.pop(tag, None)
         self._out.append(ev.ToViewer(conn, viewers.finished(tag)))
         if session is None:
             self.counts["release of an unknown id"] += 1
+            self.farewells.said(self._now, tag, Word.VIEWER, cause=cause)
         elif session.state is _State.STANDS:
             self.counts["ended by viewer"] += 1
             self._end_standing(session, cause)
@@ -462,18 +481,23 @@
         if session is not None and session.box_conn >= 0:
             if session.state is _State.STANDS:
                 data = session.farewell or rtsp.release(session.tag, MOVED)
-                self._out.append(ev.ToBox(node, session.box_conn, data))
+                self._farewell(node, session.box_conn, session.tag, data)
             else:
                 # with its connection the set-up is given up anyhow
                 data = rtsp.give_up(session.tag)
                 self._out.append(ev.ToBox(node, session.box_conn, data, only=True))
         self.attempts.handle(self._now, at.Released(set_up))
 
+    def _farewell(self, node: int, conn: int, tag: str, data: bytes) -> None:
+        self.farewells.sent(self._now, node, tag, data)
+        self._out.append(ev.ToBox(node, conn, data))
+
     def _ended(self, told: at.TellEnded) -> None:
         session = self.sessions[told.session]
         if told.playing:
             self._stands(told.node, -1)
             self.counts["ended, " + told.outcome.value] += 1
+            self.farewells.said(self._now, session.tag, Word.PAST)
             if told.outcome is not fl.Outcome.CANCELLED:
                 cause = NORMAL if told.outcome is fl.Outcome.OK else CUT
                 self._over(session.conn, session.tag, viewers.finish(session.tag, cause))
@@ -512,12 +536,19 @@
         if isinstance(message, rtsp.Answer):
             if message.cseq == 1 and message.status >= 200:
                 self._answer(event, message, session)
+            elif message.cseq == 2:
+                self.farewells.heard(node, message.session)
             return
         mine = session is not None and session.node == node and self.attempts.holds(session.number)
         if message.method == "TEARDOWN":
             self._out.append(ev.ToBox(node, event.conn, rtsp.heard(message), only=True))
             if session is not None and mine:
                 self._box_ended(session, message)
+            elif session is None:
+                outcome = _RELEASES.get(_cause(message), fl.Outcome.RESET)
+                if outcome is not fl.Outcome.CANCELLED:  # else its viewer is owed nothing
+                    cause = NORMAL if outcome is fl.Outcome.OK else CUT
+                    self.farewells.said(self._now, message.session, Word.BOX, node, cause)
         elif message.method == "ANNOUNCE" and session is not None and mine:
             kind, value = _NOTES.get(message.headers.get("fail-word", "")), _value(message)
             if kind is fl.NoteKind.RUNG and value is not None and value >= len(self.settings.ladder_kb):
@@ -526,12 +557,10 @@
                 self._tell(fl.Note(session.number, node, kind, value))
 
     def _box_ended(self, session: _Session, message: rtsp.Request) -> None:
-        cause = message.headers.get("reason", "").removeprefix("cause=")
         load = self._load(message.headers)
         attempt = session.attempts - 1
         if session.state is _State.STANDS:
-            code = int(cause) if cause.isascii() and cause.isdigit() and len(cause) < 4 else 0
-            outcome = _RELEASES.get(code, fl.Outcome.RESET)
+            outcome = _RELEASES.get(_cause(message), fl.Outcome.RESET)
             self._attempt(at.EndedAtBox(session.number, attempt, outcome, load=load))
         elif session.box_conn:
             self._attempt(at.Answered(session.number, attempt, False, fl.Outcome.RESET, load=load))
@@ -594,6 +623,7 @@
         for number in out:
             self.sessions[number].box_conn = -1  # it had left, and there is nothing to write to any more
             self._lost(number, loss)
+        self._out += [ev.ToBox(node, 0, data) for data in self.farewells.lost(self._now, node)]
 
     # ---- Box list -----------------------------------------------------------------------------------------
     def _list(self, told: Told) -> None:
@@ -634,6 +664,7 @@
                 self._boxes.pop(node, None)
                 if not self._standing[node]:
                     self._leave(node)
+                self.farewells.gone(node)
                 self._out.append(ev.BoxGone(node))
         # the module first: what is stopped below may be placed anew at once, and not at a box that drains
         self._tell(fl.NodeList(kind, tuple(infos)))
@@ -665,6 +696,12 @@
                 self._attempt(at.EndedAtBox(session.number, session.attempts - 1, fl.Outcome.RESET))
 
 
+def _cause(message: rtsp.Request) -> int:
+    """Of a release; 0 where it names none that makes sense."""
+    cause = message.headers.get("reason", "").removeprefix("cause=")
+    return int(cause) if cause.isascii() and cause.isdigit() and len(cause) < 4 else 0
+
+
 def _value(message: rtsp.Request) -> float | None:
     try:
         value = float(message.headers.get("x-reading", ""))
--- /dev/null
+++ b/foxlift/platform/farewells.py
@@ -0,0 +1,107 @@
+"""Ends that cross: releases on their way to boxes, and words on sessions that are not known yet. No I/O.
+
+    release    event                              next      what is done
+    (none)     Sent                               SENT
+    SENT       Heard by the box                   (none)
+    SENT       a connection to the box is over    SENT      sent again: it may have been on it
+    SENT       KEPT_MS, the box is gone           (none)    a connection that stood so long has carried it
+
+    session    event                              next      what is done
+    unknown    its box says that it is over       OVER      remembered
+    unknown    its viewer ends it                 ENDED     remembered
+    known      it is over                         PAST      remembered
+    OVER       it is handed over                  (none)    its viewer is told
+    ENDED      it is handed over                  (none)    its box is told
+    PAST       it is handed over                  PAST      nothing: both were told
+
+A director that has just started opens connections for the first session that is handed over to it, and its
+box sends all ends that it still owes on them: of sessions, too, that are handed over a moment later. Nobody
+says such an end twice.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+KEPT_MS = 5000.0
+MOST_TIMES = 3
+WORDS_KEPT_MS = 10_000.0  # hand-overs come as soon as a start's first test is passed; this is ample
+MOST = 4096  # of each kind; the oldest goes
+
+
+class Word(Enum):
+    """Who said that a session is over."""
+
+    BOX = "its box"
+    VIEWER = "its viewer"
+    PAST = "it was over here"
+
+
+@dataclass(slots=True)
+class _Sent:
+    since: float
+    data: bytes
+    times: int = 1
+
+
+@dataclass(slots=True)
+class Farewells:
+    """Releases at boxes that are not confirmed, and ends of sessions that nobody here knows."""
+
+    again: int = 0  # sent again, for the log
+    _sent: dict[tuple[int, str], _Sent] = field(default_factory=dict)  # by box and id, oldest first
+    _words: dict[str, tuple[float, Word, int, int]] = field(
+        default_factory=dict
+    )  # by id: when, who, box, cause
+
+    def __len__(self) -> int:
+        return len(self._sent)
+
+    def expire(self, now: float) -> None:
+        """Forget what is too old to matter."""
+        while self._sent and now - next(iter(self._sent.values())).since > KEPT_MS:
+            del self._sent[next(iter(self._sent))]
+        while self._words and now - next(iter(self._words.values()))[0] > WORDS_KEPT_MS:
+            del self._words[next(iter(self._words))]
+
+    def sent(self, now: float, node: int, tag: str, data: bytes) -> None:
+        """A release of a session that stood is on its way to its box."""
+        self._sent[node, tag] = _Sent(now, data)
+        if len(self._sent) > MOST:
+            del self._sent[next(iter(self._sent))]
+
+    def heard(self, node: int, tag: str) -> None:
+        """The box confirmed it."""
+        self._sent.pop((node, tag), None)
+
+    def lost(self, now: float, node: int) -> list[bytes]:
+        """A connection to the box is over: what may have been on it is to be sent again."""
+        found: list[bytes] = []
+        for key in [key for key in self._sent if key[0] == node]:
+            sent = self._sent[key]
+            if now - sent.since > KEPT_MS or sent.times >= MOST_TIMES:
+                del self._sent[key]
+                continue
+            sent.times += 1
+            found.append(sent.data)
+        self.again += len(found)
+        return found
+
+    def gone(self, node: int) -> None:
+        """The box is no more, and its sessions with it."""
+        for key in [key for key in self._sent if key[0] == node]:
+            del self._sent[key]
+
+    def said(self, now: float, tag: str, who: Word, node: int = 0, cause: int = 0) -> None:
+        """A session is over that is not known, or no longer. The first word holds."""
+        self._words.setdefault(tag, (now, who, node, cause))
+        if len(self._words) > MOST:
+            del self._words[next(iter(self._words))]
+
+    def word(self, now: float, tag: str, node: int) -> tuple[Word, int] | None:
+        """Whether a session that is handed over, at this box, is over, and with which cause."""
+        found = self._words.get(tag)
+        if found is None or now - found[0] > WORDS_KEPT_MS or (found[1] is Word.BOX and found[2] != node):
+            return None
+        return found[1], found[3]
--- a/foxlift/platform/lines.py
+++ b/foxlift/platform/lines.py
@@ -28,6 +28,8 @@
 PING_AFTER_MS = 900.0  # quiet for so long with something out or playing: test the connection
 PONG_WITHIN_MS = 900.0  # a test is passed at once by a box that lives, however slow its set-ups are
 LOST_MS = 5000.0  # silence after which what played there is over; viewers are owed word within 8 s of an end
+SILENT = "silent"  # why a box is lost of which nothing is known
+ALMOST_MS = 200.0  # two looks: a connection that comes up so shortly before is too late, its box may be new
 REOPEN_MS = 250.0  # between tries to reach a silent box that sessions play on
 LONGEST_REOPEN_MS = 4000.0  # the same for what only waits to be sent
 CONNECT_MS = 1000.0  # for a connection to come up, where the settings name no time
@@ -288,9 +290,14 @@
             return [Shut(name)]
         conn.up, conn.heard_at, conn.used_at = True, now, now
         self.owes = False
+        lost: list[Action] = []
+        if self.standing and now - self.heard_at >= LOST_MS - ALMOST_MS:
+            # a zone that was lost is back: to hear the new process is not to hear of the sessions of the old
+            self.heard_at = now
+            lost.append(Lost(SILENT))
         if self.waiting:
-            return [self._use(now, name, self.waiting.popleft()[0])]
-        return self._test(now, name, conn) if self.standing else []
+            return [*lost, self._use(now, name, self.waiting.popleft()[0])]
+        return lost + self._test(now, name, conn) if self.standing else []
 
     def _test(self, now: float, name: int, conn: _Connection) -> list[Action]:
         conn.pinged_at = now
@@ -380,7 +387,7 @@
         if self.standing:
             if now - self.heard_at >= LOST_MS:
                 self.heard_at = now
-                return [*actions, Lost("silent")]
+                return [*actions, Lost(SILENT)]
             if self.gone and not self.conns:
                 return [*actions, Lost("gone")]
         elif self.owes:  # nobody waits for it here: less and less often
--- a/tests/test_platform_crossings.py
+++ b/tests/test_platform_crossings.py
@@ -232,7 +232,8 @@
     echo = await deafen(world, deaf)
     [connection] = held(world)
     while not connection._full:
-        deaf.writer.write(echo)
+        assert held(world), "dropped"
+        deaf.writer.write(echo * 4)
         await asyncio.sleep(0)
 
 
--- /dev/null
+++ b/tests/test_platform_farewells.py
@@ -0,0 +1,123 @@
+"""Ends that cross a hand-over, a broken connection or a silence, at the platform's core and its lines."""
+
+from __future__ import annotations
+
+import pytest
+from test_platform_core import World, name
+from test_platform_lines import line
+
+from foxlift.platform import events as ev
+from foxlift.platform import lines
+from foxlift.platform.farewells import KEPT_MS, MOST, MOST_TIMES, WORDS_KEPT_MS, Farewells, Word
+from foxlift.standins.platform import finish_line, rtsp_answer, rtsp_request, start_line
+
+BOX = 11
+
+
+def handed_over(tag: str, node: int = BOX) -> bytes:
+    extras = f"home:0;copies:4;top:3;viewer:00000000b4d65521;at:s-{node:08x}"
+    return start_line(tag, opts={"extras": extras})
+
+
+def at_box(world: World, tag: str) -> list[bytes]:
+    return [data.split(b" ")[0] for _, _, data in world.boxed if tag.encode() in data]
+
+
+@pytest.mark.parametrize(("cause", "told"), [(16, [16]), (41, [41]), (31, [])])
+def test_an_end_that_a_box_tells_before_the_hand_over_reaches_the_viewer(cause: int, told: list[int]) -> None:
+    world = World()
+    world.box(BOX, 101, rtsp_request("TEARDOWN", name(1), f"Reason: cause={cause}\r\n"))
+    world.viewer(handed_over(name(1)))
+    assert [m["rc"] for _, m in world.sent if m["verb"] == "FINISH"] == told
+    assert world.core.sizes()["sessions"] == (0 if told else 1)
+
+
+def test_an_end_that_another_box_tells_says_nothing_of_the_session() -> None:
+    world = World()
+    world.box(BOX + 1, 101, rtsp_request("TEARDOWN", name(1), "Reason: cause=41\r\n"))
+    world.viewer(handed_over(name(1)))
+    assert world.core.sizes()["sessions"] == 1 and not world.verbs(name(1))
+
+
+def test_a_release_that_comes_before_its_hand_over_reaches_the_box() -> None:
+    world = World()
+    world.viewer(finish_line(name(1), 16), conn=2)
+    world.viewer(handed_over(name(1)))
+    assert world.verbs(name(1)) == ["FINISHED"]  # heard, and nothing else is owed
+    assert at_box(world, name(1)) == [b"TEARDOWN"] and not world.core.sizes()["sessions"]
+
+
+def test_a_release_while_the_hand_over_waits_for_the_list_reaches_the_box_once_it_is_named() -> None:
+    world = World(boxes={12: 1})
+    world.viewer(handed_over(name(1)))
+    world.viewer(finish_line(name(1), 16))
+    listed = World(boxes={BOX: 0, 12: 1}).config.known[0]
+    world.tell(ev.Listed(listed))
+    assert at_box(world, name(1)) == [b"TEARDOWN"] and not world.core.sizes()["sessions"]
+    world.pass_time(4000)
+    assert world.verbs(name(1)) == ["FINISHED"]
+
+
+def test_a_hand_over_of_what_was_over_here_is_no_session_again() -> None:
+    world = World()
+    node, conn = world.stand(name(1))
+    world.box(node, conn, rtsp_request("TEARDOWN", name(1), "Reason: cause=16\r\n"))
+    world.viewer(handed_over(name(1), node))
+    world.viewer(handed_over(name(1), node))
+    assert world.verbs(name(1)) == ["STARTED", "FINISH"] and not world.core.sizes()["sessions"]
+
+
+def test_a_release_on_a_connection_that_breaks_is_sent_again_unless_the_box_heard_it() -> None:
+    world = World()
+    places = {k: world.stand(name(k)) for k in (1, 2)}
+    for k in (1, 2):
+        world.viewer(finish_line(name(k), 16))
+    node, conn = places[1]
+    world.box(places[2][0], places[2][1], rtsp_answer(200, name(2), cseq=2))
+    for broken in {places[1], places[2]}:
+        world.tell(ev.BoxConnectionLost(*broken))
+    assert at_box(world, name(1)) == [b"TEARDOWN"] * 2 and at_box(world, name(2)) == [b"TEARDOWN"]
+    assert world.boxed[-1][:2] == (node, 0)  # on any connection
+    for _ in range(5):
+        world.tell(ev.BoxConnectionLost(node, conn))
+    assert len(at_box(world, name(1))) == MOST_TIMES
+    world.pass_time(KEPT_MS + 1)
+    world.stand(name(3))
+    assert not len(world.core.farewells)
+
+
+def test_a_box_that_was_silent_too_long_is_told_of_the_ends_it_may_not_know() -> None:
+    world = World()
+    node, _ = world.stand(name(1))
+    world.tell(ev.BoxLost(node, "gone"))
+    assert world.verbs(name(1)) == ["STARTED", "FINISH"] and not at_box(world, name(1))
+    world.tell(ev.BoxLost(*world.stand(name(2))[:1], lines.SILENT))
+    assert world.verbs(name(2)) == ["STARTED", "FINISH"] and at_box(world, name(2)) == [b"TEARDOWN"]
+
+
+@pytest.mark.parametrize(("back", "lost"), [(4700.0, False), (4803.0, True)])
+def test_a_box_that_is_back_just_as_its_silence_is_too_long_may_be_a_new_one(back: float, lost: bool) -> None:
+    box = line()
+    box.handle(0, lines.Standing(1))
+    box.handle(1, lines.Up(1))
+    box.handle(2, lines.Heard(1))
+    for now in range(100, int(back), 100):  # each try to reach it fails in its time
+        for action in box.handle(now, lines.Tick()):
+            assert not isinstance(action, lines.Lost)
+    opening = [conn for conn, held in box.conns.items() if not held.up]
+    said = box.handle(back, lines.Up(opening[-1])) if opening else []
+    assert opening and (lines.Lost(lines.SILENT) in said) is lost
+    assert said[-1] == lines.Ping(opening[-1])
+
+
+def test_words_and_releases_are_bounded_in_number_and_time() -> None:
+    table = Farewells()
+    for k in range(2 * MOST):
+        table.said(0, name(k), Word.VIEWER, cause=16)
+        table.sent(0, BOX, name(k), b"x")
+    assert len(table._words) == len(table) == MOST
+    assert table.word(1, name(2 * MOST - 1), BOX) == (Word.VIEWER, 16) and table.word(1, name(0), BOX) is None
+    assert table.word(WORDS_KEPT_MS + 1, name(2 * MOST - 1), BOX) is None
+    table.gone(BOX)
+    table.expire(WORDS_KEPT_MS + 1)
+    assert not len(table) and not table._words
