A set-up that came while the only connection was tested leaves when the test is passed

Cause, read in lines._want and Heard: on a large fleet each box has room for one connection (640 descriptors, 127 boxes: one). A set-up that came while it was being tested waited, and the passed test handed it to nobody: it left when another set-up ended there, or timed out. Likewise nobody opened a connection for what waited when the last one was retired for its old address.

Change: Heard hands waiting set-ups to a connection that was tested, as far as its streams and those that are opening leave; the tick opens one where some wait and none is there.

--- a/foxlift/platform/lines.py
+++ b/foxlift/platform/lines.py
@@ -205,11 +205,7 @@
         """Take one event in; `now` in ms."""
         match event:
             case Heard(conn):
-                self.heard_at = now
-                found = self.conns.get(conn)
-                if found is not None:
-                    found.heard_at, found.pinged_at = now, 0.0
-                return []
+                return self._hears(now, conn)
             case Want(key):
                 return self._want(now, key)
             case Freed(conn):
@@ -303,6 +299,19 @@
         conn.pinged_at = now
         return [Ping(name)]
 
+    def _hears(self, now: float, name: int) -> list[Action]:
+        self.heard_at = now
+        conn = self.conns.get(name)
+        if conn is None:
+            return []
+        conn.heard_at, tested, conn.pinged_at = now, conn.pinged_at, 0.0
+        if not (tested and self.waiting and conn.up) or conn.old:
+            return []
+        # what came while it was tested waits for it, where there was no room for another connection
+        opening = sum(1 for c in self.conns.values() if not c.up)
+        room = min(len(self.waiting) - opening, self.streams - conn.out)
+        return [self._use(now, name, self.waiting.popleft()[0]) for _ in range(room)]
+
     def _freed(self, now: float, name: int) -> list[Action]:
         conn = self.conns.get(name)
         if conn is None:
@@ -384,6 +393,8 @@
                 del self.conns[name]
                 actions.append(Retire(name))
         wait = REOPEN_MS
+        if self.waiting and not self.conns:  # the last one went for its age or its address
+            return [*actions, self._open(now)]
         if self.standing:
             if now - self.heard_at >= LOST_MS:
                 self.heard_at = now
--- a/tests/test_platform_lines.py
+++ b/tests/test_platform_lines.py
@@ -594,3 +594,34 @@
     assert box.handle(9, lines.Want(10)) == [lines.Open(4, 250.0)]
     box.handle(10, lines.Freed(2))
     assert lines.Retire(2) in box.handle(11, lines.Tick())
+
+
+def test_a_set_up_that_came_while_the_only_connection_was_tested_leaves_when_the_test_is_passed() -> None:
+    box = line(most=1)
+    box.handle(0, lines.Standing(1))
+    box.handle(1, lines.Up(1))
+    box.handle(2, lines.Heard(1))
+    assert box.handle(1000, lines.Tick()) == [lines.Ping(1)]
+    for key in (7, 8):
+        assert box.handle(1001, lines.Want(key)) == []  # it may be dead, and there is no room for another
+    assert box.handle(1002, lines.Heard(1)) == [lines.Use(1, 7), lines.Use(1, 8)]
+    assert not box.waiting and box.out == 2
+    narrow = line(most=1, streams=1)
+    narrow.handle(0, lines.Standing(1))
+    narrow.handle(1, lines.Up(1))
+    assert narrow.conns[1].pinged_at
+    for key in (7, 8):
+        narrow.handle(2, lines.Want(key))
+    assert narrow.handle(3, lines.Heard(1)) == [lines.Use(1, 7)]
+    assert narrow.handle(4, lines.Freed(1)) == [lines.Use(1, 8)]
+
+
+def test_set_ups_that_wait_get_a_connection_when_the_last_one_went_to_an_old_address() -> None:
+    box = line(most=1)
+    box.handle(0, lines.Want(7))
+    box.handle(1, lines.Up(1))
+    box.handle(2, lines.Listed(True))
+    assert box.handle(3, lines.Want(8)) == []
+    assert box.handle(4, lines.Freed(1)) == []
+    assert box.handle(100, lines.Tick()) == [lines.Retire(1), lines.Open(2, 250.0)]
+    assert box.handle(101, lines.Up(2)) == [lines.Use(2, 8)]
