--- a/foxlift/platform/core.py
+++ b/foxlift/platform/core.py
@@ -125,7 +125,6 @@
             "ids": len(self._by_tag),
             "connections": len(self._by_conn),
             "releases": len(self.releases),
-            "farewells": len(self.farewells),
             "handovers": len(self._handovers),
             "boxes": len(self._boxes),
             "attempts": self.attempts.live,
--- a/foxlift/platform/transport.py
+++ b/foxlift/platform/transport.py
@@ -369,6 +369,8 @@
         """What happened how often, and how much is held."""
         counts = self.core.counts + self.count
         counts.update({"feed gaps": self._feed.gaps, "feed connections": self._feed.reconnects})
+        farewells = self.core.farewells
+        counts.update({"farewells kept": len(farewells), "farewells again": farewells.again})
         counts.update({"released again": self.core.releases.again, "turned away": self.doors.turned_away})
         counted = ", ".join(f"{name} {n}" for name, n in sorted(counts.items()) if n)
         sizes = ", ".join(f"{name} {n}" for name, n in self.core.sizes().items())
