An answer in time no longer loses to its time-out: timers wait for a look at sockets

Seen: a new test lets the loop stand still past a request's time with its box's good answer already in the machine's buffers. At fault: the timeline knows a stall only by how late its first timer is (STALL_MS), and the loop runs timers before it reads sockets; transport told the core at once what came due. Mend: every timer of the core (time-outs, the module's wake, hand-overs) is told after a whole look at the sockets, by the same two calls as set-ups leave; one function for both. Tests: take-back, answer and time-out in one turn in every order, due 5 and 50 ms before (48), and further crossings that held: take-backs behind fifty set-ups, behind a written one, in the module's hold; reuse against the box's close; second answers; a fault in a stopping director's tick; the watch (given up as it comes up, old frames behind new ones, a whole list after a gap, drain and omission in one read, 200 directors back at once). The stand-in coordinator tells of connections that ended.

--- a/foxlift/accord/register.py
+++ b/foxlift/accord/register.py
@@ -232,9 +232,7 @@
         change.value = asked.value if held == asked.expected or held is None else held
         change.state, change.turn = _State.WRITES, change.turn + 1
         change.failed = set()
-        return self._ask_all(
-            number, change, Accept(asked.key, change.ballot, asked.expires, change.value)
-        )
+        return self._ask_all(number, change, Accept(asked.key, change.ballot, asked.expires, change.value))
 
     def _wait(self, number: int, change: _Change) -> list[Action]:
         change.state, change.turn = _State.WAITS, change.turn + 1
--- a/foxlift/decide/claims.py
+++ b/foxlift/decide/claims.py
@@ -271,16 +271,7 @@
 
 
 Action = (
-    Open
-    | Show
-    | TellRefused
-    | TellFailed
-    | TurnDown
-    | Withdraw
-    | PassOn
-    | AskAbout
-    | Adopted
-    | Superfluous
+    Open | Show | TellRefused | TellFailed | TurnDown | Withdraw | PassOn | AskAbout | Adopted | Superfluous
 )
 
 
--- a/foxlift/decide/driver.py
+++ b/foxlift/decide/driver.py
@@ -148,7 +148,7 @@
                 request = self._requests.get(number)
                 if request is None or not request.out:
                     self._events.insert(1, replace(event, load=None))
-            case (fl.Ask(number) | fl.Ended(number)) if self._waits(number):
+            case fl.Ask(number) | fl.Ended(number) if self._waits(number):
                 self._give_up(number)
             case fl.Wake(token):
                 for number in filter(self._waits, list(self._requests)):
--- a/foxlift/platform/transport.py
+++ b/foxlift/platform/transport.py
@@ -424,7 +424,7 @@
                 if viewer is not None:
                     viewer.send(data)
             case ev.StartTimer(delay_ms, event):
-                self.timeline.later(delay_ms, lambda: self.tell(event))
+                self.timeline.later(delay_ms, lambda: self._after_a_look(lambda: self.tell(event)))
             case ev.SendSetUp(number, node):
                 if node not in self._lines:
                     self.tell(ev.Unreached(number, node))
@@ -459,6 +459,15 @@
             case ev.Say(what, detail):
                 self.log.say(what, detail)
 
+    def _after_a_look(self, callback: Callable[[], None]) -> None:
+        """Call back when all is read that had come by now.
+
+        The loop reads its sockets between a call and the call that it asks for, so the second call is behind
+        a whole look. Timers need it too: they run before the sockets of their turn are read, and an answer
+        that came in time must not lose to a time-out that came due while something else was done.
+        """
+        self._loop.call_soon(self._loop.call_soon, callback)
+
     # ---- Viewers ------------------------------------------------------------------------------------------
     def viewer_opened(self, viewer: ViewerConnection) -> int:
         """A connection came; its number."""
@@ -554,12 +563,11 @@
         """Write the set-up, but only when all is read that its viewer may have said by now.
 
         Its take-back or end may be in the same turn of the loop, behind what made the set-up leave; an end
-        that came together with the request itself is read a turn later than it. The loop reads its sockets
-        between a call and the call that it asks for, so the second call is behind a whole look.
+        that came together with the request itself is read a turn later than it.
         """
         self._leaving.append(leaving)
         if len(self._leaving) == 1:
-            self._loop.call_soon(self._loop.call_soon, self._leave)
+            self._after_a_look(self._leave)
 
     def _leave(self) -> None:
         leaving, self._leaving = self._leaving, []
--- a/foxlift/rehearsal/billing.py
+++ b/foxlift/rehearsal/billing.py
@@ -191,9 +191,7 @@
     return begins, [min(found, default=-1) for found in ends]
 
 
-def _play(
-    billing: Billing, use: TapUse, played: dict[str, list[_Interval]], turned: dict[str, int]
-) -> None:
+def _play(billing: Billing, use: TapUse, played: dict[str, list[_Interval]], turned: dict[str, int]) -> None:
     billing.sessions = len(played)
     billing.unrecorded = sum(1 for set_up in use.began if set_up not in played and set_up not in use.paid)
     certain_ms = 0
--- a/foxlift/rehearsal/trial.py
+++ b/foxlift/rehearsal/trial.py
@@ -84,9 +84,7 @@
         link = ladder[-1] * ROOM
         self.fleet = Fleet(
             FleetPlan(
-                boxes=tuple(
-                    BoxPlan(f"b{k}", "here", "std", k, "r0", 50, link) for k in range(plan.boxes)
-                ),
+                boxes=tuple(BoxPlan(f"b{k}", "here", "std", k, "r0", 50, link) for k in range(plan.boxes)),
                 uplink_kb=link * plan.boxes,
                 warm_up_ms=0.0,
                 set_up_ms=20.0,
--- a/foxlift/standins/checker.py
+++ b/foxlift/standins/checker.py
@@ -587,9 +587,7 @@
             if set_up in rates:
                 self._within(set_up, sorted(found), sorted(rates[set_up]))
 
-    def _within(
-        self, set_up: str, found: list[tuple[float, int]], rates: list[tuple[float, float]]
-    ) -> None:
+    def _within(self, set_up: str, found: list[tuple[float, int]], rates: list[tuple[float, float]]) -> None:
         terms, first, total = self.terms, 0, 0
         largest = max((size for _, size in found), default=0)
         for at, size in found:
--- a/foxlift/standins/platform.py
+++ b/foxlift/standins/platform.py
@@ -107,8 +107,10 @@
         self.frames: list[tuple[int, int, bytes]] = []  # number, kind, payload
         self.asked: list[int] = []
         self.writers: list[asyncio.StreamWriter] = []
+        self.ended = 0  # connections that are over
         self.address = ""
         self.connected = asyncio.Event()
+        self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
 
     async def start(self) -> StandInCoordinator:
@@ -118,14 +120,25 @@
         return self
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        asked = int.from_bytes(await reader.readexactly(8), "big")
-        self.asked.append(asked)
-        self.writers.append(writer)
-        for number, kind, payload in self.frames:
-            if number > asked:
-                writer.write(frame(number, kind, payload))
-        self.connected.set()
-        await reader.read()
+        try:
+            asked = int.from_bytes(await reader.readexactly(8), "big")
+            self.asked.append(asked)
+            self.writers.append(writer)
+            for number, kind, payload in self.frames:
+                if number > asked:
+                    writer.write(frame(number, kind, payload))
+            self.connected.set()
+            await reader.read()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        self.ended += 1
+        self._changed.set()
+
+    async def until(self, test: Callable[[], bool]) -> None:
+        """Wait for connections to have ended."""
+        while not test():
+            self._changed.clear()
+            await self._changed.wait()
 
     def tell(self, number: int, kind: int, payload: bytes) -> None:
         """A new event, to all who are connected."""
--- a/tests/peers_world.py
+++ b/tests/peers_world.py
@@ -85,9 +85,7 @@
         return end
 
     def all_believe(self, name: str, *states: pr.State) -> bool:
-        return all(
-            m.view.state(name) in states for n, m in self.members.items() if m.up and n != name
-        )
+        return all(m.view.state(name) in states for n, m in self.members.items() if m.up and n != name)
 
     def deaths(self, since: float = 0.0) -> set[str]:
         """Who was believed dead by anybody."""
--- /dev/null
+++ b/tests/test_platform_turns.py
@@ -0,0 +1,425 @@
+"""Take-backs, answers, time-outs and closes that are ready in one turn of a platform director's loop.
+
+Loopback sockets. What is ready together is put into the machine's buffers by calls that do not wait, while
+the loop stands still inside a read of another viewer's bytes. All pairs: `docs/design/crossings.md`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import os
+import socket
+import struct
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+from platform_world import settings
+from test_platform_crossings import Leaver, left_by, push, sent, served, stands_still
+from test_platform_sockets import Scene, held, name, play, scene
+
+from foxlift.platform import lines
+from foxlift.standins.platform import (
+    StandInBox,
+    Viewer,
+    finish_line,
+    rtsp_answer,
+    rtsp_request,
+    start_line,
+)
+
+Out = list[tuple[str, bytes, asyncio.StreamWriter]]
+HELD = {"left": "60000"}
+
+
+def holds(box: StandInBox, *tags: str) -> Out:
+    """The box takes these set-ups and says nothing; those that came."""
+    out: Out = []
+
+    def behave(tag: str, body: bytes, writer: asyncio.StreamWriter) -> bool:
+        if tag in tags:
+            out.append((tag, body, writer))
+        return tag in tags
+
+    box.behave = behave
+    return out
+
+
+def put(writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Into the machine's buffers at once, not by the loop."""
+    assert os.write(writer.get_extra_info("socket").fileno(), data) == len(data)
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Its connection is reset, at once for the other side."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+async def idle_connection(world: Scene, viewer: Viewer, number: int) -> None:
+    """Each box has a connection that a session was set up on and that is free."""
+    while not all(box.writers for box in world.boxes):
+        viewer.send(start_line(name(number), title=name(number)))
+        assert await viewer.answer(name(number))
+        number += 1
+
+
+async def settled(world: Scene) -> None:
+    """Nothing is asked or out any more."""
+    core = world.director.core
+    while core.unanswered or any(line.out for line in world.director._lines.values()):
+        await asyncio.sleep(0)
+
+
+async def told(viewer: Viewer, number: int) -> list[dict[str, Any]]:
+    """All that a viewer has been told by now but for `number`, which it asks to know that it has all."""
+    viewer.send(b'{"verb":"ECHO","tag":"%s","opts":{},"rc":0}\n' % name(number).encode())
+    found: list[dict[str, Any]] = []
+    while (message := await viewer.read()) is not None and message["tag"] != name(number):
+        found.append(message)
+    return found
+
+
+# ---- Take-back, answer, time-out --------------------------------------------------------------------------
+CROSSING = [
+    order for some in (2, 3) for order in itertools.permutations(("answer", "take-back", "time-out"), some)
+]
+
+
+@pytest.mark.parametrize("late_ms", [5.0, 50.0])  # a stall is long or the time-out came due near its end
+@pytest.mark.parametrize("klass", ["paid", "free"])
+@pytest.mark.parametrize("order", CROSSING, ids=["-".join(order) for order in CROSSING])
+def test_ready_in_one_turn_they_make_one_end(
+    tmp_path: Path, order: tuple[str, ...], klass: str, late_ms: float
+) -> None:
+    async def test() -> None:
+        async with scene(tmp_path, boxes=1) as world:
+            [box] = world.boxes
+            viewer, other = await world.viewer(), await world.viewer()
+            other.send(start_line(name(8)))
+            assert await other.answer(name(8))
+            out = holds(box, name(1))
+            viewer.send(start_line(name(1), klass, opts={"left": "60"}))
+            await box.until(lambda: bool(out))
+            [(_, body, writer)] = out
+            core = world.director.core
+            number = core._by_tag[name(1)].number
+
+            def meanwhile() -> None:
+                for what in order:
+                    if what == "answer":
+                        put(writer, rtsp_answer(200, name(1), b"box\r\n" + body))
+                    elif what == "take-back":
+                        push(viewer, finish_line(name(1)))
+                    else:  # the loop stands still past the viewer's time
+                        due = core.attempts.until(number) - world.director.timeline.now()
+                        time.sleep((due + late_ms) / 1000)
+
+            done = stands_still(world, meanwhile)
+            other.send(start_line(name(9)))
+            assert await other.answer(name(9)) and done.is_set()
+            await settled(world)
+            said = [m for m in await told(viewer, 99) if m["tag"] == name(1)]
+            ends = [m["verb"] for m in said if m["verb"] != "FINISHED"]
+            assert len(ends) <= 1 and sent(world, 1) == 1
+            if "take-back" not in order:  # the answer came during the stall: it was in time
+                assert ends == ["STARTED"] and "TEARDOWN" not in box.methods(name(1))
+            else:
+                assert [m["verb"] for m in said].count("FINISHED") == 1
+                await box.until(lambda: "TEARDOWN" in box.methods(name(1)))
+                assert name(1) not in world.director.core._by_tag
+
+    play(test)
+
+
+def test_take_backs_behind_fifty_set_ups_in_one_read_keep_theirs_from_every_box(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path) as world:
+            viewer = await world.viewer()
+            asked, back = range(1, 51), {1, 17, 50}
+            starts = b"".join(start_line(name(k), "paid", opts=HELD) for k in asked)
+            push(viewer, starts + b"".join(finish_line(name(k)) for k in sorted(back)))
+            ends: dict[str, list[str]] = {name(k): [] for k in asked}
+            while sum(map(len, ends.values())) < len(asked):
+                message = await viewer.read()
+                assert message is not None
+                ends[message["tag"]].append(message["verb"])
+            assert all(ends[name(k)] == (["FINISHED"] if k in back else ["STARTED"]) for k in asked)
+            assert [sent(world, k) for k in asked] == [0 if k in back else 1 for k in asked]
+            assert not await told(viewer, 99)
+
+    play(test)
+
+
+def test_a_take_back_behind_the_written_set_up_is_told_to_the_box_and_its_answer_to_nobody(
+    tmp_path: Path,
+) -> None:
+    async def test() -> None:
+        async with scene(tmp_path, boxes=1) as world:
+            [box] = world.boxes
+            viewer = await world.viewer()
+            out = holds(box, name(1))
+            take = world.director.core.take
+
+            def taken(now: float, number: int, node: int, conn: int) -> bytes | None:
+                # it is in the machine's buffers as the set-up is written
+                push(viewer, finish_line(name(1)))
+                return take(now, number, node, conn)
+
+            world.director.core.take = taken  # type: ignore[method-assign]
+            viewer.send(start_line(name(1), "paid", opts=HELD))
+            await box.until(lambda: "TEARDOWN" in box.methods(name(1)))
+            [(_, body, writer)] = out
+            put(writer, rtsp_answer(200, name(1), b"box\r\n" + body))
+            world.director.core.take = take  # type: ignore[method-assign]
+            await served(world, 2)
+            assert [m["verb"] for m in await told(viewer, 99)] == ["FINISHED"]
+            assert world.director.core.counts["answer that belongs to nothing"] == 1
+
+    play(test)
+
+
+# ---- Waiting in the module --------------------------------------------------------------------------------
+@left_by
+def test_left_while_the_module_held_the_request(tmp_path: Path, leave: str) -> None:
+    seats = settings()["categories"]
+    for entry in seats:
+        entry["aim_ms"] = entry["deadline_ms"] = 60_000.0
+
+    async def test() -> None:
+        async with scene(tmp_path, boxes=1, categories=seats) as world:
+            core, other = world.director.core, await world.viewer()
+            other.send(start_line(name(8)))
+            assert await other.answer(name(8))
+            place = core.module._place
+            core.module._place = lambda session: False  # type: ignore[method-assign]  # no room anywhere
+            viewer = Leaver(world)
+            viewer.send(start_line(name(1), "paid", opts=HELD))
+            while not core.module.held:
+                await asyncio.sleep(0)
+            core.module._place = place  # type: ignore[method-assign]  # room comes as the viewer leaves
+
+            def meanwhile() -> None:
+                viewer.leave(leave)
+                time.sleep(0.06)  # the loop stands still past the next look at what is held
+
+            done = stands_still(world, meanwhile)
+            other.send(start_line(name(9)))
+            assert await other.answer(name(9)) and done.is_set()
+            await served(world, 2)
+            assert sent(world, 1) == 0 and not core.module.held
+
+    play(test)
+
+
+# ---- Reuse against a close --------------------------------------------------------------------------------
+@pytest.mark.parametrize("klass", ["paid", "free"])
+@pytest.mark.parametrize("how", ["end of stream", "reset"])
+def test_a_set_up_that_comes_with_the_end_of_the_idle_connection_leaves_on_another(
+    tmp_path: Path, how: str, klass: str
+) -> None:
+    async def test() -> None:
+        async with scene(tmp_path, boxes=1) as world:
+            [box] = world.boxes
+            viewer = await world.viewer()
+            await idle_connection(world, viewer, 10)
+            [writer] = box.writers
+
+            def meanwhile() -> None:  # the box closes it as the set-up is read
+                if how == "reset":
+                    reset(writer)
+                    return
+                with socket.socket(fileno=os.dup(writer.get_extra_info("socket").fileno())) as far:
+                    far.shutdown(socket.SHUT_WR)
+
+            done = stands_still(world, meanwhile)
+            viewer.send(start_line(name(1), klass, opts=HELD))
+            answer = await viewer.answer(name(1))
+            assert answer is not None and answer["verb"] == "STARTED" and done.is_set()
+            assert sent(world, 1) == 1 and len(box.writers) == 2
+
+    play(test)
+
+
+@pytest.mark.parametrize("how", ["read, end of stream", "read, reset", "not read, reset"])
+@pytest.mark.parametrize("klass", ["paid", "free"])
+def test_a_set_up_whose_bytes_were_written_as_the_box_closed_is_sent_again_only_if_it_may_be(
+    tmp_path: Path, how: str, klass: str
+) -> None:
+    async def test() -> None:
+        async with scene(tmp_path) as world:
+            viewer = await world.viewer()
+            await idle_connection(world, viewer, 10)
+            writers = [box.writers[0] for box in world.boxes]
+            closed: list[int] = []
+
+            def behave(tag: str, body: bytes, writer: asyncio.StreamWriter) -> bool:
+                if tag != name(1) or closed or how == "not read, reset":
+                    return False
+                closed.append(1)
+                if how == "read, reset":
+                    reset(writer)
+                else:
+                    writer.close()
+                return True
+
+            for box in world.boxes:
+                box.behave = behave
+            take = world.director.core.take
+
+            def taken(now: float, number: int, node: int, conn: int) -> bytes | None:
+                if how == "not read, reset" and not closed:
+                    closed.append(1)
+                    reset(writers[node - 1])  # after the last look at the sockets, before the write
+                return take(now, number, node, conn)
+
+            world.director.core.take = taken  # type: ignore[method-assign]
+            viewer.send(start_line(name(1), klass, opts=HELD))
+            answer = await viewer.answer(name(1))
+            assert answer is not None and closed
+            arrived = sent(world, 1)
+            if klass == "paid":
+                assert (answer["verb"], answer["rc"]) == ("FINISH", 41)
+                assert arrived == (0 if how == "not read, reset" else 1)
+            else:
+                assert answer["verb"] == "STARTED"
+                assert arrived == (1 if how == "not read, reset" else 2)
+            assert world.director.core.counts["attempts"] - len(world.director.core.sessions) <= 2
+            assert not await told(viewer, 99)
+
+    play(test)
+
+
+# ---- More than one answer ---------------------------------------------------------------------------------
+FIRST = {"served": 200, "refused": 453}
+
+
+@pytest.mark.parametrize("first", FIRST)
+@pytest.mark.parametrize("apart", [False, True], ids=["in one read", "later"])
+def test_a_second_answer_is_nobodys(tmp_path: Path, first: str, apart: bool) -> None:
+    async def test() -> None:
+        async with scene(tmp_path) as world:
+            viewer = await world.viewer()
+            out: Out = []
+
+            def behave(tag: str, body: bytes, writer: asyncio.StreamWriter) -> bool:
+                out.append((tag, body, writer))
+                return len(out) == 1 and tag == name(1)
+
+            for box in world.boxes:
+                box.behave = behave
+            viewer.send(start_line(name(1), opts=HELD))
+            while not out:
+                await asyncio.sleep(0)
+            _, body, writer = out[0]
+            good = rtsp_answer(FIRST[first], name(1), b"box\r\n" + body if first == "served" else b"")
+            more = rtsp_answer(200, name(1), b"another\r\n")
+            put(writer, good if apart else good + more)
+            answer = await viewer.answer(name(1))
+            assert answer is not None and answer["verb"] == "STARTED"
+            assert answer["blob"] == f"box\r\n{body.decode()}"  # of the first answer, or of the other box
+            if apart:
+                put(writer, more)
+            while not world.director.core.counts["answer that belongs to nothing"]:
+                await asyncio.sleep(0)
+            viewer.send(start_line(name(2), opts=HELD))
+            answer = await viewer.answer(name(2))
+            assert answer is not None and answer["verb"] == "STARTED"
+            assert not await told(viewer, 99) and sent(world, 1) == (1 if first == "served" else 2)
+
+    play(test)
+
+
+def test_an_answer_of_a_set_up_that_went_on_to_another_box_is_nobodys(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path) as world:
+            viewer = await world.viewer()
+            out: Out = []
+
+            def behave(tag: str, body: bytes, writer: asyncio.StreamWriter) -> bool:
+                out.append((tag, body, writer))
+                return True
+
+            for box in world.boxes:
+                box.behave = behave
+            viewer.send(start_line(name(1), opts=HELD))
+            while len(out) < 2:  # the first box was too slow for a class that may be repeated
+                await asyncio.sleep(0)
+            (_, body, slow), (_, _, other) = out
+            first = next(box for box in world.boxes if slow in box.writers)
+            await first.until(lambda: "TEARDOWN" in first.methods(name(1)))
+            put(slow, rtsp_answer(200, name(1), b"too late\r\n"))
+            while not world.director.core.counts["answer that belongs to nothing"]:
+                await asyncio.sleep(0)
+            put(other, rtsp_answer(200, name(1), b"box\r\n" + body))
+            answer = await viewer.answer(name(1))
+            assert answer is not None and answer["blob"] == f"box\r\n{body.decode()}"
+
+    play(test)
+
+
+def test_a_release_behind_the_answer_in_one_read_ends_what_has_just_begun(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path, boxes=1) as world:
+            [box] = world.boxes
+            viewer = await world.viewer()
+            out = holds(box, name(1))
+            viewer.send(start_line(name(1), opts=HELD))
+            await box.until(lambda: bool(out))
+            [(_, body, writer)] = out
+            over = rtsp_request("TEARDOWN", name(1), "Reason: cause=16\r\n")
+            put(writer, rtsp_answer(200, name(1), b"box\r\n" + body) + over)
+            first, second = await viewer.read(), await viewer.read()
+            assert first and second and [first["verb"], second["verb"]] == ["STARTED", "FINISH"]
+            assert not world.director.core.sessions
+
+    play(test)
+
+
+# ---- The tick ---------------------------------------------------------------------------------------------
+def test_a_fault_in_the_tick_of_a_stopping_director_does_not_stop_the_stop(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path, boxes=1) as world:
+            director, faults = world.director, 0
+            asyncio.get_running_loop().set_exception_handler(lambda _, context: director.guard(context))
+
+            line = director.line
+
+            def faulty(node: int, event: lines.Event) -> None:
+                nonlocal faults
+                if isinstance(event, lines.Tick):
+                    faults += 1
+                    raise RuntimeError("fault")
+                line(node, event)
+
+            director.line = faulty  # type: ignore[method-assign]
+            viewer = await world.viewer()
+            viewer.send(start_line(name(1)))
+            assert await viewer.answer(name(1))
+            director.stop()
+            await director.ended
+            assert faults > 1 and director.count["exceptions"] == faults
+
+    play(test)
+
+
+def test_half_a_line_that_is_late_costs_its_connection_and_what_was_asked_on_it_only(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path, boxes=1) as world:
+            [box] = world.boxes
+            out = holds(box, name(1), name(2))
+            bad, good = await world.viewer(), await world.viewer()
+            bad.send(start_line(name(1), "paid", opts=HELD) + start_line(name(3))[:40])
+            good.send(start_line(name(2), "paid", opts=HELD))
+            await box.until(lambda: len(out) == 2)
+            assert await bad.read() is None  # closed: its request is taken back at the box
+            await box.until(lambda: "TEARDOWN" in box.methods(name(1)))
+            for tag, body, writer in out:
+                put(writer, rtsp_answer(200, tag, b"box\r\n" + body))
+            answer = await good.answer(name(2))
+            assert answer is not None and answer["verb"] == "STARTED" and len(held(world)) == 1
+
+    play(test)
--- /dev/null
+++ b/tests/test_platform_watch.py
@@ -0,0 +1,209 @@
+"""Crossings on a platform director's watch of the box list: connections, reloads, gaps, drains.
+
+Loopback sockets, but for the fleet that comes back at once, which is in virtual time. All pairs:
+`docs/design/crossings.md`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import json
+from pathlib import Path
+
+import pytest
+from test_platform_sockets import Scene, name, play, scene
+
+from foxlift import interface as fl
+from foxlift.platform import feed
+from foxlift.platform.settings import Address
+from foxlift.platform.transport import CoordinatorConnection, PlatformDirector
+from foxlift.standins.platform import StandInCoordinator, frame, record, start_line
+
+
+async def numbered(director: PlatformDirector, number: int) -> None:
+    while director._feed.number < number:
+        await asyncio.sleep(0)
+
+
+def reload_to(world: Scene, address: str) -> None:
+    raw = json.loads(world.path.read_bytes())
+    world.path.write_bytes(json.dumps(dict(raw, coordinator=address)).encode())
+    world.director.reload()
+
+
+def test_a_connection_that_comes_up_as_it_is_given_up_is_closed_and_another_is_heard(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    made = CoordinatorConnection.connection_made
+    given_up: list[CoordinatorConnection] = []
+
+    def too_late(self: CoordinatorConnection, transport: asyncio.BaseTransport) -> None:
+        made(self, transport)
+        if not given_up:  # its time is up in the very turn in which it is made, before its task goes on
+            given_up.append(self)
+            director = self._director
+            director.tell_feed(feed.Due(director._feed._turn))
+
+    monkeypatch.setattr(CoordinatorConnection, "connection_made", too_late)
+
+    async def test() -> None:
+        async with scene(tmp_path) as world:
+            await world.feed.connected.wait()
+            while world.director.coordinator is None:
+                await asyncio.sleep(0)
+            assert given_up and given_up[0] is not world.director.coordinator
+            await world.feed.until(lambda: world.feed.ended == 1)
+            world.feed.tell(2, 2, record(1, world.boxes[0].address, state=1))
+            await numbered(world.director, 2)
+            assert world.feed.asked == [1]
+
+    play(test)
+
+
+def test_frames_of_the_old_coordinator_behind_the_new_ones_first_say_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path) as world:
+            await world.feed.connected.wait()
+            later = await StandInCoordinator().start()
+            world.feed.tell(2, 2, record(1, world.boxes[0].address, state=1))
+            await numbered(world.director, 2)
+            later.frames.append((3, 2, record(1, world.boxes[0].address, state=0)))
+            reload_to(world, later.address)
+            # what it writes from here on is behind the reload, whenever it arrives
+            world.feed.tell(3, 2, record(2, world.boxes[1].address, state=2))
+            world.feed.tell(4, 2, record(1, world.boxes[0].address, state=2))
+            await later.connected.wait()
+            assert later.asked == [2]
+            await numbered(world.director, 3)
+            later.tell(4, 2, record(2, world.boxes[1].address, state=1))
+            await numbered(world.director, 4)
+            boxes = world.director.core._boxes
+            assert [boxes[k].status for k in (1, 2)] == [fl.Status.READY, fl.Status.DRAINING]
+            assert world.feed.asked == [1]
+            later.stop()
+
+    play(test)
+
+
+def test_a_whole_list_after_a_gap_leaves_cold_boxes_cold_warm_ones_warm_and_drained_ones_drained(
+    tmp_path: Path,
+) -> None:
+    async def test() -> None:
+        async with scene(tmp_path, boxes=4, invariants__ramp_time_ms=600_000.0) as world:
+            director, addresses = world.director, [box.address for box in world.boxes]
+            await world.feed.connected.wait()
+            cold_since = int(director.timeline.now())
+            world.feed.tell(2, 2, record(1, addresses[0], started=cold_since))
+            world.feed.tell(3, 2, record(2, addresses[1], state=1, cell=1))
+            await numbered(director, 3)
+            # gaps that do not close: the whole list is asked for, and its number is the one held
+            whole = [
+                record(1, addresses[0], started=cold_since),
+                record(2, addresses[1], state=1, cell=1),
+                record(3, addresses[2], cell=2),
+                record(4, addresses[3], cell=3),
+            ]
+            nodes = director.core.module.nodes
+            before = {k: (nodes[k].cold_since, nodes[k].info.status, nodes[k]) for k in nodes}
+            world.feed.frames = [(3, 1, b"".join(whole))]
+            for asks in range(1, feed.WHOLE_AFTER + 1):
+                world.feed.writers[-1].write(frame(9, 2, record(3, addresses[2], state=2, cell=2)))
+                while len(world.feed.asked) <= asks:
+                    await asyncio.sleep(0)
+            assert world.feed.asked[-1] == 0
+            while director._feed._misread:
+                await asyncio.sleep(0)
+            assert {k: (nodes[k].cold_since, nodes[k].info.status, nodes[k]) for k in nodes} == before
+            assert nodes[1].cold_since == cold_since and nodes[3].cold_since < 0
+            viewer = await world.viewer()
+            for k in range(1, 9):
+                viewer.send(start_line(name(k), title=name(k)))
+                assert await viewer.answer(name(k))
+            assert not [m for m, _, _ in world.boxes[1].got if m == "SETUP"]
+
+    play(test)
+
+
+def test_a_drain_in_one_read_with_a_whole_list_that_omits_the_box_keeps_a_set_up_from_it(
+    tmp_path: Path,
+) -> None:
+    async def test() -> None:
+        async with scene(tmp_path) as world:
+            director, addresses = world.director, [box.address for box in world.boxes]
+            await world.feed.connected.wait()
+            take = director.core.take
+            told: list[int] = []
+
+            def taken(now: float, number: int, node: int, conn: int) -> bytes | None:
+                if not told:  # the box was chosen and has a connection; its bytes are about to be made
+                    told.append(node)
+                    other = 3 - node
+                    drain = frame(2, 2, record(node, addresses[node - 1], state=1, cell=node - 1))
+                    whole = frame(3, 1, record(other, addresses[other - 1], cell=other - 1))
+                    assert director.coordinator is not None
+                    director.coordinator.data_received(drain + whole)
+                return take(now, number, node, conn)
+
+            director.core.take = taken  # type: ignore[method-assign]
+            viewer = await world.viewer()
+            viewer.send(start_line(name(1), "paid", opts={"left": "60000"}))
+            answer = await viewer.answer(name(1))
+            assert answer is not None and answer["verb"] == "STARTED" and told
+            gone = world.boxes[told[0] - 1]
+            assert not gone.methods(name(1)) and told[0] not in director.core.module.nodes
+
+    play(test)
+
+
+# ---- A fleet at once, virtual time ------------------------------------------------------------------------
+DIRECTORS, DOWN_MS = 200, 8000.0
+
+
+@pytest.mark.parametrize("how", ["refused", "silent"])
+def test_two_hundred_directors_come_back_soon_and_not_in_step(how: str) -> None:
+    """The coordinator is down: connections break and are refused, or it and its address fall silent."""
+    feeds = [feed.Feed(Address("10.0.0.1", 4222), 1, seed) for seed in range(DIRECTORS)]
+    queue: list[tuple[float, int, int, feed.Event]] = []
+    order = 0
+
+    def at(due: float, k: int, event: feed.Event) -> None:
+        nonlocal order
+        order += 1
+        heapq.heappush(queue, (due, order, k, event))
+
+    asked: list[list[float]] = [[] for _ in feeds]
+    tried: list[float] = []
+
+    def do(now: float, k: int, actions: list[feed.Action]) -> None:
+        for action in actions:
+            match action:
+                case feed.Connect():
+                    tried.append(now)
+                    if not 0 <= now < DOWN_MS:
+                        at(now + 1, k, feed.Opened())
+                    elif how == "refused":
+                        at(now + 1, k, feed.Closed())
+                case feed.Ask():
+                    asked[k].append(now)
+                    at(now + 1, k, feed.Heard((feed.Frame(1, None),)))
+                case feed.Later(delay, turn):
+                    at(now + delay, k, feed.Due(turn))
+
+    for k, each in enumerate(feeds):
+        do(-1500.0 + k, k, each.start())  # started one after the other
+    for k in range(DIRECTORS):
+        if how == "refused":
+            at(0.0, k, feed.Closed())
+        else:
+            at(-1.0, k, feed.Heard((feed.Frame(1, None),)))
+    while queue and queue[0][0] < DOWN_MS + 2000:
+        now, _, k, event = heapq.heappop(queue)
+        do(now, k, feeds[k].handle(now, event))
+    back = [min(t for t in mine if t >= DOWN_MS) - DOWN_MS for mine in asked]
+    assert all(t < 0 or t >= DOWN_MS for mine in asked for t in mine)
+    assert max(back) <= feed.LONGEST_WAIT_MS * 1.25 + feed.OPEN_MS  # told long before 4 s
+    most = max(sum(1 for t in back if start <= t < start + 50) for start in range(0, int(max(back)), 10))
+    assert most <= DIRECTORS / 4, sorted(back)  # of all in any 50 ms
+    during = sum(1 for t in tried if 0 <= t < DOWN_MS)
+    assert during <= DIRECTORS * (DOWN_MS / (feed.LONGEST_WAIT_MS * 0.75) + 6)
