A set-up whose own time is up does not leave on a connection that comes up too late

Seen: a test lets the connection to the box come up in the turn in which the viewer's time ends (the loop stood still over both). The set-up left with Answer-Within: 1, 50 ms after its viewer's time, and was served or, had the box been slower, failed as one that may have run: KeyError: 'rc' (STARTED where FINISH 34 is wanted) At fault: Core.take looked at whether the attempt still waits, not at its time; the time-out is told a look later than the connection. Mend: take gives no bytes past the attempt's time; its time-out then ends it as one that never left, so that a class that may not be repeated is refused (harmless) instead of failed. Test: paid and free, no byte at the box, refused.

--- a/foxlift/platform/core.py
+++ b/foxlift/platform/core.py
@@ -181,8 +181,8 @@
         """A connection is there: the set-up's bytes, or None where it is not to leave any more."""
         self._now = now
         session = self._waiting(number, node)
-        if session is None:
-            return None
+        if session is None or now >= self.attempts.until(number):
+            return None  # its connection and its time-out came together, both too late
         session.box_conn, session.sent_at = conn, now
         within = max(self.attempts.until(number) - now, 1.0)
         klass = self.settings.classes[session.klass].name
--- a/tests/test_platform_turns.py
+++ b/tests/test_platform_turns.py
@@ -423,3 +423,37 @@
             assert answer is not None and answer["verb"] == "STARTED" and len(held(world)) == 1
 
     play(test)
+
+
+# ---- Time that is up ---------------------------------------------------------------------------------------
+@pytest.mark.parametrize("klass", ["paid", "free"])
+def test_a_set_up_does_not_leave_after_its_own_time_though_its_connection_came_first(
+    tmp_path: Path, klass: str
+) -> None:
+    async def test() -> None:
+        async with scene(tmp_path, boxes=1, limits__connect_timeout_ms=20_000.0) as world:
+            director, opened = world.director, asyncio.Event()
+            connect, up = director._connect_box, director.box_up
+
+            async def late(node: int, conn: int, address: Any) -> None:
+                await opened.wait()
+                await connect(node, conn, address)
+
+            def stands_then(box: Any) -> None:
+                time.sleep(0.15)  # the loop stands still past the viewer's time as the connection comes up
+                up(box)
+
+            director._connect_box = late  # type: ignore[method-assign]
+            director.box_up = stands_then  # type: ignore[method-assign]
+            viewer = await world.viewer()
+            viewer.send(start_line(name(1), klass, opts={"left": "100"}))
+            while not director._opening:
+                await asyncio.sleep(0)
+            opened.set()
+            answer = await viewer.answer(name(1))
+            assert answer is not None and (answer["verb"], answer["rc"]) == ("FINISH", 34)
+            director.box_up = up  # type: ignore[method-assign]
+            await served(world, 2)
+            assert sent(world, 1) == 0
+
+    play(test)
