An id used again is not given the answer of the attempt that was taken back

At fault: Core._answer compares id, box and connection, which are the same here. Mend: Farewells remembers set-ups that were given up by box, connection and id until the box confirms that (CSeq 2, behind whatever it had said before) or for 5 s, 4096 at most; answers until then belong to nothing. Where the box confirms nothing the second has no answer and ends in its time: said, not guessed. Tests: on sockets with and without the box's word; the table's bounds.

--- a/foxlift/platform/core.py
+++ b/foxlift/platform/core.py
@@ -484,6 +484,7 @@
             else:
                 # with its connection the set-up is given up anyhow
                 data = rtsp.give_up(session.tag)
+                self.farewells.gave_up(self._now, node, session.box_conn, session.tag)
                 self._out.append(ev.ToBox(node, session.box_conn, data, only=True))
         self.attempts.handle(self._now, at.Released(set_up))
 
@@ -536,7 +537,7 @@
             if message.cseq == 1 and message.status >= 200:
                 self._answer(event, message, session)
             elif message.cseq == 2:
-                self.farewells.heard(node, message.session)
+                self.farewells.heard(node, event.conn, message.session)
             return
         mine = session is not None and session.node == node and self.attempts.holds(session.number)
         if message.method == "TEARDOWN":
@@ -570,6 +571,7 @@
             session is None
             or session.state is not _State.ASKED
             or (session.node, session.box_conn) != (event.node, event.conn)
+            or self.farewells.is_old(self._now, event.node, event.conn, session.tag)
         ):
             self.counts["answer that belongs to nothing"] += 1
             return
--- a/foxlift/platform/farewells.py
+++ b/foxlift/platform/farewells.py
@@ -6,6 +6,10 @@
     SENT       a connection to the box is over    SENT      sent again: it may have been on it
     SENT       KEPT_MS, the box is gone           (none)    a connection that stood so long has carried it
 
+    set-up     event                              next      what is done
+    (none)     given up on a connection           OLD       an answer to its id there is not a later one's
+    OLD        the box confirms it, KEPT_MS       (none)
+
     session    event                              next      what is done
     unknown    its box says that it is over       OVER      remembered
     unknown    its viewer ends it                 ENDED     remembered
@@ -51,6 +55,8 @@
 
     again: int = 0  # sent again, for the log
     _sent: dict[tuple[int, str], _Sent] = field(default_factory=dict)  # by box and id, oldest first
+    # set-ups that were given up: box, connection and id, since when, oldest first
+    _given_up: dict[tuple[int, int, str], float] = field(default_factory=dict)
     _words: dict[str, tuple[float, Word, int, int]] = field(
         default_factory=dict
     )  # by id: when, who, box, cause
@@ -64,6 +70,8 @@
             del self._sent[next(iter(self._sent))]
         while self._words and now - next(iter(self._words.values()))[0] > WORDS_KEPT_MS:
             del self._words[next(iter(self._words))]
+        while self._given_up and now - next(iter(self._given_up.values())) > KEPT_MS:
+            del self._given_up[next(iter(self._given_up))]
 
     def sent(self, now: float, node: int, tag: str, data: bytes) -> None:
         """A release of a session that stood is on its way to its box."""
@@ -71,9 +79,21 @@
         if len(self._sent) > MOST:
             del self._sent[next(iter(self._sent))]
 
-    def heard(self, node: int, tag: str) -> None:
-        """The box confirmed it."""
+    def gave_up(self, now: float, node: int, conn: int, tag: str) -> None:
+        """A set-up that has no answer was given up on a connection."""
+        self._given_up[node, conn, tag] = now
+        if len(self._given_up) > MOST:
+            del self._given_up[next(iter(self._given_up))]
+
+    def is_old(self, now: float, node: int, conn: int, tag: str) -> bool:
+        """Whether an answer there may still be the one of a set-up that was given up."""
+        since = self._given_up.get((node, conn, tag))
+        return since is not None and now - since <= KEPT_MS
+
+    def heard(self, node: int, conn: int, tag: str) -> None:
+        """The box confirmed a release, or that a set-up is given up: what it said of that came before."""
         self._sent.pop((node, tag), None)
+        self._given_up.pop((node, conn, tag), None)
 
     def lost(self, now: float, node: int) -> list[bytes]:
         """A connection to the box is over: what may have been on it is to be sent again."""
--- a/tests/test_platform_farewells.py
+++ b/tests/test_platform_farewells.py
@@ -121,3 +121,20 @@
     table.gone(BOX)
     table.expire(WORDS_KEPT_MS + 1)
     assert not len(table) and not table._words
+
+
+def test_set_ups_given_up_are_remembered_until_the_box_confirms_or_for_a_while() -> None:
+    table = Farewells()
+    table.gave_up(0, BOX, 5, name(1))
+    assert table.is_old(1, BOX, 5, name(1))
+    assert not table.is_old(1, BOX, 6, name(1)) and not table.is_old(1, BOX, 5, name(2))
+    table.heard(BOX, 6, name(1))
+    assert table.is_old(1, BOX, 5, name(1))
+    table.heard(BOX, 5, name(1))
+    assert not table.is_old(1, BOX, 5, name(1))
+    for k in range(2 * MOST):
+        table.gave_up(0, BOX, 5, name(k))
+    assert len(table._given_up) == MOST and table.is_old(1, BOX, 5, name(2 * MOST - 1))
+    assert not table.is_old(KEPT_MS + 1, BOX, 5, name(2 * MOST - 1))
+    table.expire(KEPT_MS + 1)
+    assert not table._given_up
--- a/tests/test_platform_turns.py
+++ b/tests/test_platform_turns.py
@@ -182,6 +182,37 @@
     play(test)
 
 
+@pytest.mark.parametrize("confirms", [True, False], ids=["box confirms", "box does not"])
+def test_an_id_used_again_does_not_get_the_answer_of_the_attempt_that_was_taken_back(
+    tmp_path: Path, confirms: bool
+) -> None:
+    async def test() -> None:
+        async with scene(tmp_path, boxes=1) as world:
+            [box] = world.boxes
+            viewer = await world.viewer()
+            out = holds(box, name(1))
+            viewer.send(start_line(name(1), opts=HELD))
+            await box.until(lambda: len(out) == 1)
+            viewer.send(finish_line(name(1)))
+            viewer.send(start_line(name(1), opts=HELD, blob="another"))
+            await box.until(lambda: len(out) == 2)
+            (_, old, writer), (_, new, again) = out
+            assert writer is again  # the same connection: nothing but the order tells the two apart
+            put(writer, rtsp_answer(200, name(1), b"box\r\n" + old))
+            if confirms:
+                put(writer, rtsp_answer(200, name(1), cseq=2))
+            put(writer, rtsp_answer(200, name(1), b"box\r\n" + new))
+            if confirms:
+                answer = await viewer.answer(name(1))
+                assert answer is not None and answer["blob"] == "box\r\nanother"
+            else:
+                while world.director.core.counts["answer that belongs to nothing"] < 2:
+                    await asyncio.sleep(0)
+                assert [m["verb"] for m in await told(viewer, 99)] == ["FINISHED"]
+
+    play(test)
+
+
 # ---- Waiting in the module --------------------------------------------------------------------------------
 @left_by
 def test_left_while_the_module_held_the_request(tmp_path: Path, leave: str) -> None:
