A reload in the middle of the start leaves one watch of the list, which is heard

Seen: SIGHUP between the reading of the configuration and the first connection. Two connections to the coordinator were made; the first was asked on and the second was listened to, so that nothing was heard for 1.8 s, and the first stayed open without an owner for good: assert [1, 1] == [1] (asked twice; Left contains one more item) At fault: Feed.start connects whatever happened before; a reload had connected already. Mend: start does nothing where a connection was begun. Test: two coordinators, the new one asked once, the old one never, its next event heard.

--- a/foxlift/platform/feed.py
+++ b/foxlift/platform/feed.py
@@ -206,8 +206,8 @@
                 return [Drop(), *self._open()]
 
     def start(self) -> list[Action]:
-        """The first connection."""
-        return self._open()
+        """The first connection; nothing where a new address was told before, in the middle of the start."""
+        return [] if self.reconnects else self._open()
 
     def _later(self, delay_ms: float) -> Later:
         self._turn += 1
--- a/tests/test_platform_watch.py
+++ b/tests/test_platform_watch.py
@@ -12,13 +12,14 @@
 from pathlib import Path
 
 import pytest
-from test_platform_sockets import Scene, name, play, scene
+from platform_world import config, member
+from test_platform_sockets import Scene, free_address, name, play, scene
 
 from foxlift import interface as fl
 from foxlift.platform import feed
-from foxlift.platform.settings import Address
+from foxlift.platform.settings import Address, read
 from foxlift.platform.transport import CoordinatorConnection, PlatformDirector
-from foxlift.standins.platform import StandInCoordinator, frame, record, start_line
+from foxlift.standins.platform import StandInBox, StandInCoordinator, frame, record, start_line
 
 
 async def numbered(director: PlatformDirector, number: int) -> None:
@@ -61,6 +62,32 @@
     play(test)
 
 
+def test_a_reload_in_the_start_leaves_one_watch_that_is_heard(tmp_path: Path) -> None:
+    async def test() -> None:
+        feeds = [await StandInCoordinator().start() for _ in range(2)]
+        box = await StandInBox().start()
+        file = tmp_path / "config.json"
+        file.write_bytes(config([member(1, box.address)], feeds[0].address, free_address()))
+        loop = asyncio.get_running_loop()
+        director = PlatformDirector(read(file.read_bytes()), str(file), loop)
+        raw = json.loads(file.read_bytes())
+        file.write_bytes(json.dumps(dict(raw, coordinator=feeds[1].address)).encode())
+        director.reload()  # the signal came between the reading of the file and the first connection
+        await director.start()
+        await feeds[1].connected.wait()
+        while director.coordinator is None:
+            await asyncio.sleep(0)
+        feeds[1].tell(2, 2, record(1, box.address, state=1))
+        await numbered(director, 2)
+        assert feeds[1].asked == [1] and not feeds[0].asked and director._feed.reconnects == 1
+        await director.close()
+        for each in feeds:
+            each.stop()
+        await box.stop()
+
+    play(test)
+
+
 def test_frames_of_the_old_coordinator_behind_the_new_ones_first_say_nothing(tmp_path: Path) -> None:
     async def test() -> None:
         async with scene(tmp_path) as world:
