--- a/foxlift/platform/transport.py
+++ b/foxlift/platform/transport.py
@@ -584,6 +584,11 @@
             elif self.core.waits(key, node):  # nothing of it has left, and another connection may be had
                 self.line(node, lines.Want(key))
             return
+        if box.transport.get_write_buffer_size() > HIGH_WATER:
+            # it does not read: behind all that, the set-up would leave long after its viewer did
+            self.line(node, lines.Freed(conn))
+            self.tell(ev.Unreached(key, node))
+            return
         data = self.core.take(self.timeline.now(), key, node, conn)
         if data is None:
             self.line(node, lines.Freed(conn))
--- a/tests/test_platform_turns.py
+++ b/tests/test_platform_turns.py
@@ -21,6 +21,7 @@
 from test_platform_sockets import Scene, held, name, play, scene
 
 from foxlift.platform import lines
+from foxlift.platform import transport as transport_module
 from foxlift.standins.platform import (
     StandInBox,
     Viewer,
@@ -488,3 +489,32 @@
             assert sent(world, 1) == 0
 
     play(test)
+
+
+def test_set_ups_do_not_lie_behind_what_a_box_does_not_read(tmp_path: Path) -> None:
+    """They would leave long after their viewers: nothing tells when a box reads again."""
+
+    async def test() -> None:
+        async with scene(tmp_path, boxes=1, limits__max_streams=1000) as world:
+            director, [box] = world.director, world.boxes
+            director._lines[1].most = 1
+            viewer = await world.viewer()
+            await idle_connection(world, viewer, 10)
+            [writer] = box.writers
+            [connection] = director._boxes.values()
+            assert connection.transport is not None
+            for transport in (writer.transport, connection.transport):
+                sock = transport.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            writer.transport.pause_reading()  # type: ignore[attr-defined]
+            while connection.transport.get_write_buffer_size() <= transport_module.HIGH_WATER:
+                connection.send(b"x" * 4096)
+                await asyncio.sleep(0)
+            before = connection.transport.get_write_buffer_size()
+            viewer.send(start_line(name(1), "paid", opts=HELD))
+            answer = await viewer.answer(name(1))
+            assert answer is not None and (answer["verb"], answer["rc"]) == ("FINISH", 34)
+            assert connection.transport.get_write_buffer_size() == before
+
+    play(test)
