A box that was off the list and is back as a new process has lost what stood there

Seen: a box goes off the list (a record, or a whole list that omits it) and is listed again 0.5 s later with a later start, before its silence was noticed. Its new process answers tests, so its old sessions were believed to play on for good and their viewers never heard of their end: assert ['STARTED'] == ['STARTED', 'FINISH'] (both ways of going) Ruled out: a later start of a box that stayed on the list ends them already. At fault: Core._list compared starts only with an entry that was still held. Mend: a stated start is looked at whether or not the box was on the list; sessions that stood before it are over. One that is back as it was, or with a start before the session's, keeps them (second test). Tests: virtual time.

--- a/foxlift/platform/core.py
+++ b/foxlift/platform/core.py
@@ -642,8 +642,8 @@
             if info.status is fl.Status.GONE:
                 closed.append((info.node, True))
                 continue
-            before = self._boxes.get(info.node)
-            if before is not None and info.started_ms > before.started_ms:
+            before = self._boxes.get(info.node)  # None: it may have been off the list for a moment only
+            if info.started_ms > (before.started_ms if before is not None else 0.0):
                 restarted.append(info.node)
             other = self._holders.get(box.address, info.node)
             if other != info.node:
--- a/tests/test_platform_farewells.py
+++ b/tests/test_platform_farewells.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 from test_platform_core import World, name
 from test_platform_lines import line
 
+from foxlift import interface as fl
 from foxlift.platform import events as ev
 from foxlift.platform import lines
 from foxlift.platform.farewells import KEPT_MS, MOST, MOST_TIMES, WORDS_KEPT_MS, Farewells, Word
+from foxlift.platform.settings import Told
 from foxlift.standins.platform import finish_line, rtsp_answer, rtsp_request, start_line
 
 BOX = 11
@@ -123,6 +127,39 @@
     assert not len(table) and not table._words
 
 
+@pytest.mark.parametrize("how", ["gone", "left out of a whole list"])
+def test_a_box_that_was_off_the_list_and_is_back_as_a_new_process_has_lost_what_stood(how: str) -> None:
+    """Both in one look: its silence has not been noticed, and its new process answers tests."""
+    world = World()
+    node, _ = world.stand(name(1))
+    other, _ = world.stand(name(2))
+    before = world.config.known[0]
+    [entry] = [box for box in before.boxes if box.info.node == node]
+    if how == "gone":
+        off = Told(2, False, (replace(entry, info=replace(entry.info, status=fl.Status.GONE)),))
+    else:
+        off = Told(2, True, tuple(box for box in before.boxes if box.info.node != node))
+    world.tell(ev.Listed(off))
+    world.now += 500
+    world.tell(
+        ev.Listed(Told(3, False, (replace(entry, info=replace(entry.info, started_ms=world.now - 10)),)))
+    )
+    assert world.verbs(name(1)) == ["STARTED", "FINISH"]
+    assert world.verbs(name(2)) == (["STARTED"] if other != node else ["STARTED", "FINISH"])
+
+
+def test_a_box_that_was_off_the_list_and_is_back_as_it_was_keeps_what_stands() -> None:
+    world = World()
+    node, _ = world.stand(name(1))
+    before = world.config.known[0]
+    world.tell(ev.Listed(Told(2, True, tuple(box for box in before.boxes if box.info.node != node))))
+    for number, started in ((3, 0.0), (4, world.now - 10)):  # of before the session began
+        [entry] = [box for box in before.boxes if box.info.node == node]
+        info = replace(entry.info, started_ms=started)
+        world.tell(ev.Listed(Told(number, False, (replace(entry, info=info),))))
+    assert world.verbs(name(1)) == ["STARTED"]
+
+
 def test_set_ups_given_up_are_remembered_until_the_box_confirms_or_for_a_while() -> None:
     table = Farewells()
     table.gave_up(0, BOX, 5, name(1))
