A quiet connection that hears of sessions is tested before a short idle time ends it

Seen: with an idle time of 0.5 s in the settings the box closes the one connection on which ends of sessions are heard every 0.5 s, as the test of a quiet connection waits 0.9 s; each time a new one is opened, which has a price, and an end told in between waits for it: AssertionError: closed by the box as idle At fault: lines.PING_AFTER_MS is a figure of its own, whatever the settings say. Mend: quiet for 0.6 of the settings' idle time counts where that is shorter, as for retiring. Test: idle times of 0.5, 1.5 and 30 s in virtual time.

--- a/foxlift/platform/lines.py
+++ b/foxlift/platform/lines.py
@@ -384,7 +384,7 @@
             if conn.pinged_at and now - conn.pinged_at >= PONG_WITHIN_MS:
                 actions += [Shut(name), *self._down(now, name, False)]
                 continue
-            quiet = now - max(conn.heard_at, conn.used_at) >= PING_AFTER_MS
+            quiet = now - max(conn.heard_at, conn.used_at) >= min(PING_AFTER_MS, self.idle_ms * IDLE_PART)
             minds = conn.out or name == listened
             if quiet and minds and not conn.pinged_at:
                 actions += self._test(now, name, conn)
--- a/tests/test_platform_lines.py
+++ b/tests/test_platform_lines.py
@@ -154,6 +154,24 @@
     assert not box.conns
 
 
+@pytest.mark.parametrize("idle_ms", [500.0, 1500.0, 30000.0])
+def test_a_connection_that_hears_of_sessions_is_tested_before_the_box_closes_it_as_idle(
+    idle_ms: float,
+) -> None:
+    box = lines.Line(250.0, idle_ms, 4, 1)
+    box.handle(0, lines.Standing(1))
+    box.handle(1, lines.Up(1))
+    box.handle(2, lines.Heard(1))
+    used, tests = 2.0, 0
+    for now in range(100, 20_000, 100):
+        assert now - used < idle_ms, "closed by the box as idle"
+        for action in box.handle(now, lines.Tick()):
+            assert isinstance(action, lines.Ping)  # and never given up or opened anew
+            used, tests = now, tests + 1
+            box.handle(now + 1, lines.Heard(1))
+    assert tests <= 20_000 / min(idle_ms * lines.IDLE_PART, lines.PING_AFTER_MS)
+
+
 @given(st.lists(st.tuples(st.sampled_from("wurfdhstgk"), st.integers(1, 6)), max_size=120))
 def test_a_line_never_loses_a_set_up_nor_uses_a_dead_connection(steps: list[tuple[str, int]]) -> None:
     """Each wanted set-up is used, unreached, taken back or waits; only connections that are up are used."""
