Who reads a director's log may go away without costing connections or its stop

Seen: standard error's reader closes; then each line for the log raised inside whatever said it. A box's spoilt answer was counted but its connection not given up, and at SIGTERM the process ended at once with 1 in place of staying until nothing was owed: assert 1 == 0 (exit code) At fault: Log.say lets an OSError of the write out, into data_received, signal handlers and the loop's own exception handler, which says a line too. Mend: a line that cannot be written is counted with those left out. Test: the real process, spoilt answers, bad reloads and SIGTERM after its log's reader went; served throughout.

--- a/foxlift/platform/transport.py
+++ b/foxlift/platform/transport.py
@@ -48,8 +48,12 @@
             return
         self._room -= 1
         more = f" ({self._left_out} lines left out)" if self._left_out else ""
+        try:
+            print(f"foxlift: {what}{': ' if detail else ''}{detail}{more}", file=sys.stderr, flush=True)
+        except OSError:  # who reads the log is gone or does not keep up: nobody else is to notice
+            self._left_out += 1
+            return
         self._left_out = 0
-        print(f"foxlift: {what}{': ' if detail else ''}{detail}{more}", file=sys.stderr, flush=True)
 
 
 class ViewerConnection(asyncio.Protocol):
--- a/tests/test_platform_turns.py
+++ b/tests/test_platform_turns.py
@@ -9,6 +9,7 @@
 import asyncio
 import itertools
 import os
+import signal
 import socket
 import struct
 import time
@@ -16,14 +17,15 @@
 from typing import Any
 
 import pytest
-from platform_world import settings
+from platform_world import config, member, settings
 from test_platform_crossings import Leaver, left_by, push, sent, served, stands_still
-from test_platform_sockets import Scene, held, name, play, scene
+from test_platform_sockets import Scene, free_address, held, name, play, process, scene
 
 from foxlift.platform import lines
 from foxlift.platform import transport as transport_module
 from foxlift.standins.platform import (
     StandInBox,
+    StandInCoordinator,
     Viewer,
     finish_line,
     rtsp_answer,
@@ -518,3 +520,33 @@
             assert connection.transport.get_write_buffer_size() <= before  # the machine may have taken some
 
     play(test)
+
+
+# ---- As a process ------------------------------------------------------------------------------------------
+def test_who_reads_the_log_may_go_away_and_nobody_else_notices(tmp_path: Path) -> None:
+    async def test() -> None:
+        box, feed = await StandInBox().start(), await StandInCoordinator().start()
+        address = free_address()
+        director = process(tmp_path, config([member(1, box.address)], feed.address, listen=address))
+        assert director.stderr is not None
+        loop = asyncio.get_running_loop()
+        assert b"serving" in await loop.run_in_executor(None, director.stderr.readline)
+        director.stderr.close()
+        viewer = await Viewer.connect(address)
+        for k in range(1, 4):
+            viewer.send(start_line(name(k), opts=HELD))
+            answer = await viewer.answer(name(k))
+            assert answer is not None and answer["verb"] == "STARTED"
+            # a line for the log, from inside a read
+            lost = box.writers[-1]
+            put(lost, b"noise\r\n\r\n")
+            while box.writers[-1] is lost:  # another is opened for the sessions that stand
+                await asyncio.sleep(0)
+            (tmp_path / "config.json").write_bytes(b"{half")
+            director.send_signal(signal.SIGHUP)
+        director.send_signal(signal.SIGTERM)
+        assert await loop.run_in_executor(None, director.wait) == 0
+        feed.stop()
+        await box.stop()
+
+    play(test)
