The log reader's test spoils the right connection; a hand-over's wait follows the watch

Change: noise goes on the connection of the set-up, the stand-in counts ended connections, the process is ended whatever happens.

--- a/foxlift/platform/core.py
+++ b/foxlift/platform/core.py
@@ -31,8 +31,8 @@
 from foxlift.decide.driver import Driver, Trace
 from foxlift.logic import Director
 from foxlift.platform import events as ev
+from foxlift.platform import feed, rtsp, viewers
 from foxlift.platform import lines as ln
-from foxlift.platform import rtsp, viewers
 from foxlift.platform.farewells import Farewells, Word
 from foxlift.platform.releases import Releases, Write
 from foxlift.platform.settings import Address, Config, Told
@@ -40,7 +40,8 @@
 
 REFUSED, FAILED, NORMAL, CUT, SENSELESS = 34, 41, 16, 41, 96  # causes of FINISH
 MOVED = 31  # cause of a release at a box whose viewer is not owed one
-HANDOVER_MS = 3000.0  # how long a handed-over session waits for the list to name its box
+# how long a handed-over session waits for the list to name its box: a silent watch is asked anew by then
+HANDOVER_MS = feed.SILENT_MS + feed.OPEN_MS + feed.LONGEST_WAIT_MS
 MAX_HANDOVERS = 4096  # of those at once
 
 _REFUSALS = {453: fl.Outcome.FULL, 454: fl.Outcome.NEVER_SENT, 504: fl.Outcome.RESET}  # others: ERROR
--- a/foxlift/standins/platform.py
+++ b/foxlift/standins/platform.py
@@ -53,6 +53,7 @@
     def __init__(self) -> None:
         self.got: list[tuple[str, str, dict[str, str]]] = []  # method, id, headers
         self.writers: list[asyncio.StreamWriter] = []
+        self.ended = 0  # connections that the other side has ended
         self.behave: Callable[[str, bytes, asyncio.StreamWriter], bool] | None = None
         self.arrived = asyncio.Event()
         self.address = ""
@@ -87,7 +88,7 @@
                 elif method == "SETUP" and (self.behave is None or not self.behave(tag, body, writer)):
                     writer.write(rtsp_answer(200, tag, b"box\r\n" + body))
         except (asyncio.IncompleteReadError, ConnectionError):
-            pass
+            self.ended += 1
 
     def methods(self, tag: str) -> list[str]:
         """What came for an id, in order."""
--- a/tests/test_platform_turns.py
+++ b/tests/test_platform_turns.py
@@ -527,25 +527,33 @@
     async def test() -> None:
         box, feed = await StandInBox().start(), await StandInCoordinator().start()
         address = free_address()
+        used: list[asyncio.StreamWriter] = []
+
+        def behave(tag: str, body: bytes, writer: asyncio.StreamWriter) -> bool:
+            used.append(writer)
+            return False
+
+        box.behave = behave
         director = process(tmp_path, config([member(1, box.address)], feed.address, listen=address))
-        assert director.stderr is not None
-        loop = asyncio.get_running_loop()
-        assert b"serving" in await loop.run_in_executor(None, director.stderr.readline)
-        director.stderr.close()
-        viewer = await Viewer.connect(address)
-        for k in range(1, 4):
-            viewer.send(start_line(name(k), opts=HELD))
-            answer = await viewer.answer(name(k))
-            assert answer is not None and answer["verb"] == "STARTED"
-            # a line for the log, from inside a read
-            lost = box.writers[-1]
-            put(lost, b"noise\r\n\r\n")
-            while box.writers[-1] is lost:  # another is opened for the sessions that stand
-                await asyncio.sleep(0)
-            (tmp_path / "config.json").write_bytes(b"{half")
-            director.send_signal(signal.SIGHUP)
-        director.send_signal(signal.SIGTERM)
-        assert await loop.run_in_executor(None, director.wait) == 0
+        try:
+            assert director.stderr is not None
+            loop = asyncio.get_running_loop()
+            assert b"serving" in await loop.run_in_executor(None, director.stderr.readline)
+            director.stderr.close()
+            viewer = await Viewer.connect(address)
+            for k in range(1, 4):
+                viewer.send(start_line(name(k), opts=HELD))
+                answer = await viewer.answer(name(k))
+                assert answer is not None and answer["verb"] == "STARTED"
+                put(used[-1], b"noise\r\n\r\n")  # a line for the log, from inside a read
+                while box.ended < k:  # the connection is given up for it
+                    await asyncio.sleep(0)
+                (tmp_path / "config.json").write_bytes(b"{half")
+                director.send_signal(signal.SIGHUP)
+            director.send_signal(signal.SIGTERM)
+            assert await loop.run_in_executor(None, director.wait) == 0
+        finally:
+            director.kill()
         feed.stop()
         await box.stop()
 
