--- a/tests/test_platform_turns.py
+++ b/tests/test_platform_turns.py
@@ -21,7 +21,7 @@
 from test_platform_crossings import Leaver, left_by, push, sent, served, stands_still
 from test_platform_sockets import Scene, free_address, held, name, play, process, scene
 
-from foxlift.platform import lines
+from foxlift.platform import limits, lines
 from foxlift.platform import transport as transport_module
 from foxlift.standins.platform import (
     StandInBox,
@@ -522,6 +522,56 @@
     play(test)
 
 
+# ---- Bad input at bad times ------------------------------------------------------------------------------
+BAD = [b"\xff\x00\n", b"x" * 70_000, b"[" * 15_000 + b"\n", b"GET / HTTP/1.1\r\n\r\n", b'{"verb":"START"}\n']
+
+
+@pytest.mark.parametrize("when", ["in a stop", "while the list is silent"])
+def test_bad_input_costs_its_own_connection_only(tmp_path: Path, when: str) -> None:
+    async def test() -> None:
+        async with scene(tmp_path) as world:
+            director = world.director
+            await world.feed.connected.wait()
+            good = await world.viewer()
+            out = [holds(box, name(1), name(2)) for box in world.boxes]
+            for k in (1, 2):
+                good.send(start_line(name(k), "paid", opts=HELD))
+                while sum(map(len, out)) < k:
+                    await asyncio.sleep(0)
+            if when == "in a stop":
+                director.stop()
+            else:
+                world.feed.stop()
+            bad = [await world.viewer() for _ in BAD]
+            for viewer, data in zip(bad, BAD, strict=True):
+                viewer.send(data)
+            gives_up, again = await world.viewer(), await world.viewer()
+            gives_up.send(b"".join(start_line(name(k)) + finish_line(name(k)) for k in range(100, 300)))
+            senseless = start_line(name(5), opts={"class": "none"})
+            for _ in range(limits.MOST_BLAMED - 1):  # the same again the moment it is turned away
+                again.send(senseless)
+                answer = await again.answer(name(5))
+                assert answer is not None and answer["verb"] == "FINISH"
+            again.send(senseless)  # once too often
+            assert await again.answer(name(6)) is None
+            for viewer in bad:
+                assert await viewer.read() is None
+            # one of the two answers is spoilt: it costs its own session
+            [(first, _, spoilt), (second, body, writer)] = [held for each in out for held in each]
+            put(spoilt, b"RTSP/1.0 200 OK\r\nCSeq: 1\r\nContent-Length: 3000000000\r\n\r\n")
+            answer = await good.answer(first)
+            assert answer is not None and (answer["verb"], answer["rc"]) == ("FINISH", 41)
+            put(writer, rtsp_answer(200, second, b"box\r\n" + body))
+            answer = await good.answer(second)
+            assert answer is not None and answer["blob"] == f"box\r\n{body.decode()}"
+            assert [m for m in await told(good, 99) if m["tag"] in (first, second)] == []
+            gives_up.writer.transport.abort()
+            if when == "in a stop":
+                await director.ended
+
+    play(test)
+
+
 # ---- As a process ------------------------------------------------------------------------------------------
 def test_who_reads_the_log_may_go_away_and_nobody_else_notices(tmp_path: Path) -> None:
     async def test() -> None:
