A box that starts anew and loses its address in one event no longer breaks the list

Seen in reading, then by a test: one event of the coordinator names a box with a later start and another box at the same address. Core._list raised, the connection to the coordinator was cut, and as the event's number was held already, what else it named (boxes behind, drains) was never heard: foxlift/platform/core.py:694: in _restarted KeyError: 13 At fault: the new start is looked at after the box was taken out for its address; since a first listing with a start counts too, so that two new boxes at one address would have done it as well. Mend: a box that is out again is passed over there; its sessions are lost with its address, as before. Test: virtual time; the session's viewer hears, the boxes behind in the event are known.

--- a/foxlift/platform/core.py
+++ b/foxlift/platform/core.py
@@ -691,7 +691,10 @@
 
     def _restarted(self, node: int) -> None:
         """What stood there before the box's new start went with the old process."""
-        started_ms = self._boxes[node].started_ms
+        info = self._boxes.get(node)
+        if info is None:
+            return  # its address is another's by the same event: all that stood there is lost with that
+        started_ms = info.started_ms
         for session in [s for s in self.sessions.values() if s.node == node]:
             if session.state is _State.STANDS and session.stands_since < started_ms:
                 self.counts["went with an old process"] += 1
--- a/tests/test_platform_farewells.py
+++ b/tests/test_platform_farewells.py
@@ -12,7 +12,7 @@
 from foxlift.platform import events as ev
 from foxlift.platform import lines
 from foxlift.platform.farewells import KEPT_MS, MOST, MOST_TIMES, WORDS_KEPT_MS, Farewells, Word
-from foxlift.platform.settings import Told
+from foxlift.platform.settings import Address, Told
 from foxlift.standins.platform import finish_line, rtsp_answer, rtsp_request, start_line
 
 BOX = 11
@@ -175,3 +175,17 @@
     assert not table.is_old(KEPT_MS + 1, BOX, 5, name(2 * MOST - 1))
     table.expire(KEPT_MS + 1)
     assert not table._given_up
+
+
+def test_a_box_that_started_anew_and_lost_its_address_in_one_event_costs_nothing_else() -> None:
+    world = World()
+    node, _ = world.stand(name(1))
+    before = world.config.known[0]
+    [entry] = [box for box in before.boxes if box.info.node == node]
+    anew = replace(entry, info=replace(entry.info, started_ms=world.now + 10))
+    taker = replace(entry, info=replace(entry.info, node=77, started_ms=world.now + 20))
+    last = replace(entry, info=replace(entry.info, node=78), address=Address("10.0.0.78", 5060))
+    world.now += 500
+    world.tell(ev.Listed(Told(2, False, (anew, taker, last))))
+    assert world.verbs(name(1)) == ["STARTED", "FINISH"]
+    assert {77, 78} <= set(world.core.module.nodes) and node not in world.core.module.nodes
