--- a/tests/test_platform_crossings.py
+++ b/tests/test_platform_crossings.py
@@ -227,6 +227,18 @@
 left_by = pytest.mark.parametrize("leave", ["take-back", "end of stream", "reset"])
 
 
+def connects_late(world: Scene) -> asyncio.Event:
+    """Connections to boxes are tried only once the event is set."""
+    opened, connect = asyncio.Event(), world.director._connect_box
+
+    async def late(node: int, conn: int, address: Any) -> None:
+        await opened.wait()
+        await connect(node, conn, address)
+
+    world.director._connect_box = late  # type: ignore[method-assign]
+    return opened
+
+
 async def fill(world: Scene, deaf: Viewer) -> None:
     """A viewer that does not read, with so much unsent that it would not be read from."""
     echo = await deafen(world, deaf)
@@ -321,14 +333,7 @@
 def test_left_while_the_connection_to_its_box_was_opening(tmp_path: Path, leave: str) -> None:
     async def test() -> None:
         async with scene(tmp_path, boxes=1, limits__connect_timeout_ms=20_000.0) as world:
-            loop, open_now = asyncio.get_running_loop(), asyncio.Event()
-            connect = world.director._connect_box
-
-            async def late(node: int, conn: int, address: Any) -> None:
-                await open_now.wait()
-                await connect(node, conn, address)
-
-            world.director._connect_box = late  # type: ignore[method-assign]
+            loop, open_now = asyncio.get_running_loop(), connects_late(world)
             viewer = Leaver(world)
             viewer.send(start_line(name(1), "paid", opts={"left": "60000"}))
             while not world.director._opening:
@@ -374,14 +379,7 @@
 def test_left_while_its_answers_were_not_read(tmp_path: Path, leave: str) -> None:
     async def test() -> None:
         async with scene(tmp_path, boxes=1, limits__connect_timeout_ms=20_000.0) as world:
-            open_now = asyncio.Event()
-            connect = world.director._connect_box
-
-            async def late(node: int, conn: int, address: Any) -> None:
-                await open_now.wait()
-                await connect(node, conn, address)
-
-            world.director._connect_box = late  # type: ignore[method-assign]
+            open_now = connects_late(world)
             deaf = await world.viewer()
             deaf.send(start_line(name(1), "paid", opts={"left": "60000"}))
             while not world.director._opening:
@@ -409,14 +407,7 @@
 def test_a_connection_that_is_closed_for_its_noise_takes_its_waiting_requests_with_it(tmp_path: Path) -> None:
     async def test() -> None:
         async with scene(tmp_path, boxes=1, limits__connect_timeout_ms=20_000.0) as world:
-            open_now = asyncio.Event()
-            connect = world.director._connect_box
-
-            async def late(node: int, conn: int, address: Any) -> None:
-                await open_now.wait()
-                await connect(node, conn, address)
-
-            world.director._connect_box = late  # type: ignore[method-assign]
+            open_now = connects_late(world)
             deaf = await world.viewer()
             deaf.send(start_line(name(1), "paid", opts={"left": "60000"}))
             while not world.director._opening:
@@ -538,14 +529,7 @@
     async def test() -> None:
         async with scene(tmp_path, boxes=1) as world:
             await world.feed.connected.wait()
-            director, opened = world.director, asyncio.Event()
-            connect = director._connect_box
-
-            async def late(node: int, conn: int, address: Any) -> None:
-                await opened.wait()
-                await connect(node, conn, address)
-
-            director._connect_box = late  # type: ignore[method-assign]
+            director, opened = world.director, connects_late(world)
             viewer = await world.viewer()
             viewer.send(start_line(name(1), "paid", opts={"left": "60000"}))
             while not director._opening:
