--- a/review/harness.py
+++ b/review/harness.py
@@ -511,7 +511,8 @@
         host, port = self._director.split(":")
         to_reader, to_writer = await asyncio.open_connection(host, int(port))
         self._writers += [writer, to_writer]
-        await asyncio.gather(self._pass(reader, to_writer), self._pass(to_reader, writer))
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(self._pass(reader, to_writer), self._pass(to_reader, writer))
 
     async def _pass(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(ConnectionError, asyncio.CancelledError):
