Server pool: its messages and the state of one connection in modules of their own

They now stand in pool_messages.py and pooled_connection.py; choosing a connection for a set-up is a function of its own. Behaviour is unchanged.

--- a/foxlift/platform/core.py
+++ b/foxlift/platform/core.py
@@ -31,7 +31,7 @@
 from foxlift.decide import attempts as at
 from foxlift.decide.driver import Driver, Trace
 from foxlift.logic import Director
-from foxlift.platform import discovery_watch, rtsp, server_pool, viewers
+from foxlift.platform import discovery_watch, pool_messages, rtsp, viewers
 from foxlift.platform import events as ev
 from foxlift.platform.session_endings import EndSource, SessionEndings
 from foxlift.platform.settings import Address, Config, ListUpdate
@@ -180,7 +180,7 @@
                 self.counts["box lost, " + reason] += 1
                 lost = [self.sessions[number].tag for number in sorted(self._playing.get(node, ()))]
                 self._attempt(at.BoxLost(node))
-                if reason == server_pool.SILENT:  # it may only be unreachable and still play
+                if reason == pool_messages.SILENT:  # it may only be unreachable and still play
                     for tag in lost:
                         self._send_release(node, 0, tag, rtsp.release(tag, INTERRUPTED))
             case ev.HandoverTimedOut(tag):
--- a/foxlift/platform/events.py
+++ b/foxlift/platform/events.py
@@ -154,7 +154,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SetupFinished:
-    """A set-up that was sent on the connection is answered or has failed."""
+    """A set-up that was sent on the connection has ended."""
 
     node: int
     conn: int
--- /dev/null
+++ b/foxlift/platform/pooled_connection.py
@@ -0,0 +1,49 @@
+"""The state of one connection to a media server, and what follows from it for its use. No I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+PING_IDLE_MS = 900.0  # silence after which a connection with unanswered set-ups or sessions is pinged
+PING_TIMEOUT_MS = 900.0  # a running server answers a ping at once, however slow its set-ups are
+MAX_IDLE_RATIO = 0.6  # of the server's idle timeout; after that this side closes first
+
+
+@dataclass(slots=True)
+class PooledConnection:
+    """One connection of a `ServerPool`. All times in ms on the clock of the pool's events."""
+
+    opened_at: float  # when the attempt to open it began
+    idle_timeout_ms: float  # of the server
+    up: bool = False
+    in_flight: int = 0  # set-ups sent on it and not answered
+    last_received_at: float = 0.0
+    last_used_at: float = 0.0
+    pinged_at: float = 0.0  # 0: no unanswered ping
+    outdated: bool = False  # to a former address of the server: no new set-ups are sent on it
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether set-ups may be sent on it: it is up, and nothing suggests that it may be dead."""
+        return self.up and not (self.pinged_at or self.outdated)
+
+    def is_idle(self, now: float) -> bool:
+        """Return whether it was unused for so long that the server may be closing it."""
+        return now - self.last_used_at >= self.idle_timeout_ms * MAX_IDLE_RATIO
+
+    def is_ping_due(self, now: float, is_needed: bool) -> bool:
+        """Return whether to ping it. `is_needed`: it has unanswered set-ups or receives for sessions."""
+        return not self.pinged_at and is_needed and self.is_quiet(now)
+
+    def setup_ended(self) -> None:
+        """Record the end of a set-up on this connection."""
+        self.in_flight = max(self.in_flight - 1, 0)
+
+    def is_quiet(self, now: float) -> bool:
+        """Return whether nothing was sent or received for so long that it must be pinged if it is needed."""
+        quiet_ms = now - max(self.last_received_at, self.last_used_at)
+        return quiet_ms >= min(PING_IDLE_MS, self.idle_timeout_ms * MAX_IDLE_RATIO)
+
+    def is_dead(self, now: float) -> bool:
+        """Return whether the answer to a ping is overdue."""
+        return bool(self.pinged_at) and now - self.pinged_at >= PING_TIMEOUT_MS
--- a/foxlift/platform/server_connection.py
+++ b/foxlift/platform/server_connection.py
@@ -7,7 +7,7 @@
 from typing import Protocol, cast
 
 from foxlift.platform import events as ev
-from foxlift.platform import rtsp, server_pool
+from foxlift.platform import pool_messages, rtsp
 from foxlift.platform.buffers import HIGH_WATER_BYTES, MAX_UNSENT_BYTES
 from foxlift.platform.log import RateLimitedLog
 
@@ -26,7 +26,7 @@
     def notify_core(self, event: ev.Event) -> None:
         """Pass an event to the core."""
 
-    def handle(self, node: int, event: server_pool.Event) -> None:
+    def handle(self, node: int, event: pool_messages.Event) -> None:
         """Pass an event to the pool of a server."""
 
     def connection_opened(self, connection: ServerConnection) -> None:
@@ -67,7 +67,7 @@
             return
         for message in messages:
             if not rtsp.is_failed_ping(message):
-                self._owner.handle(self.node, server_pool.DataReceived(self.number))
+                self._owner.handle(self.node, pool_messages.DataReceived(self.number))
             self._owner.notify_core(ev.ServerMessageReceived(self.node, self.number, message))
 
     def connection_lost(self, error: Exception | None) -> None:
--- a/foxlift/platform/server_connections.py
+++ b/foxlift/platform/server_connections.py
@@ -11,7 +11,7 @@
 from typing import Protocol
 
 from foxlift.director.timeline import Timeline
-from foxlift.platform import descriptors, rtsp, server_pool
+from foxlift.platform import descriptors, pool_messages, rtsp, server_pool
 from foxlift.platform import events as ev
 from foxlift.platform.eviction import MIN_LISTENING_MS, select_connection_to_close
 from foxlift.platform.log import RateLimitedLog
@@ -100,7 +100,7 @@
         moved = self.addresses.get(node, address) != address
         self.addresses[node] = address
         if node in self.pools:
-            self.handle(node, server_pool.ServerListed(moved))
+            self.handle(node, pool_messages.ServerListed(moved))
             return
         connect_ms = self._config.module.connect_timeout_ms or server_pool.DEFAULT_CONNECT_TIMEOUT_MS
         self.pools[node] = server_pool.ServerPool(
@@ -113,12 +113,12 @@
         if node not in self.pools:
             self._director.notify_core(ev.SetupNotSent(request, node))
         else:
-            self.handle(node, server_pool.SetupQueued(request))
+            self.handle(node, pool_messages.SetupQueued(request))
 
     def tick(self) -> None:
         """Run the periodic checks of all pools."""
         for node in list(self.pools):
-            self.handle(node, server_pool.Tick())
+            self.handle(node, pool_messages.Tick())
             pool = self.pools.get(node)
             if pool is not None and pool.is_removed and pool.unused:
                 self._drop_pool(node)
@@ -139,7 +139,7 @@
         for connection in list(self.connections.values()):
             connection.close()
 
-    def handle(self, node: int, event: server_pool.Event) -> None:
+    def handle(self, node: int, event: pool_messages.Event) -> None:
         """Pass an event to the pool of a server and carry out its actions."""
         pool = self.pools.get(node)
         if pool is None:
@@ -147,23 +147,23 @@
         for action in pool.handle(self._director.timeline.now(), event):
             self._carry_out(node, action)
 
-    def _carry_out(self, node: int, action: server_pool.Action) -> None:
+    def _carry_out(self, node: int, action: pool_messages.Action) -> None:
         match action:
-            case server_pool.OpenConnection(conn, within_ms):
+            case pool_messages.OpenConnection(conn, within_ms):
                 self._open(node, conn, within_ms)
-            case server_pool.UseConnection(conn, key):
+            case pool_messages.UseConnection(conn, key):
                 self._setups.add(PendingSetup(node, conn, key))
-            case server_pool.SetupUnreachable(key):
+            case pool_messages.SetupUnreachable(key):
                 self._director.notify_core(ev.SetupNotSent(key, node))
-            case server_pool.PingConnection(conn):
+            case pool_messages.PingConnection(conn):
                 self._ping(node, conn)
-            case server_pool.CloseConnection(conn):
+            case pool_messages.CloseConnection(conn):
                 self._close(node, conn)
-            case server_pool.RetireConnection(conn):
+            case pool_messages.RetireConnection(conn):
                 self._retire(node, conn)
-            case server_pool.DiscardUnsent():
+            case pool_messages.DiscardUnsent():
                 self.unsent.pop(node, None)
-            case server_pool.SessionsLost(reason):
+            case pool_messages.SessionsLost(reason):
                 self._director.log.write("box lost", f"s-{node:08x}, {reason}")
                 self._director.notify_core(ev.ServerLost(node, reason))
 
@@ -183,13 +183,13 @@
     def _open(self, node: int, conn: int, within_ms: float) -> None:
         if not self._reserve_descriptor(for_listening=not self.pools[node].waiting):
             self._director.count["no descriptor for a box"] += 1
-            self._loop.call_soon(self.handle, node, server_pool.ConnectionLost(conn))
+            self._loop.call_soon(self.handle, node, pool_messages.ConnectionLost(conn))
             return
         self._director.count["connections to boxes"] += 1
         task = self._loop.create_task(self._connect(node, conn, self.addresses[node]))
         task.add_done_callback(self._director.log_task_error)
         self.opening[node, conn] = task
-        self._director.timeline.later(within_ms, lambda: self.handle(node, server_pool.Tick()))
+        self._director.timeline.later(within_ms, lambda: self.handle(node, pool_messages.Tick()))
 
     def _reserve_descriptor(self, for_listening: bool) -> bool:
         """Return whether one more connection to a server may be opened, closing another if necessary.
@@ -209,7 +209,7 @@
         if yielded is None:
             return False
         self._director.count["box connections given up"] += 1
-        self.handle(yielded.node, server_pool.ConnectionYielded(yielded.conn))
+        self.handle(yielded.node, pool_messages.ConnectionYielded(yielded.conn))
         return True
 
     async def _connect(self, node: int, conn: int, address: Address) -> None:
@@ -220,7 +220,7 @@
             self.opening.pop((node, conn), None)
             refused = isinstance(error, ConnectionRefusedError)
             self._director.count["connect refused" if refused else "connect failed"] += 1
-            self.handle(node, server_pool.ConnectionLost(conn, refused))
+            self.handle(node, pool_messages.ConnectionLost(conn, refused))
             return
 
     def connection_opened(self, connection: ServerConnection) -> None:
@@ -229,7 +229,7 @@
             connection.close()
             return
         self.connections[connection.node, connection.number] = connection
-        self.handle(connection.node, server_pool.ConnectionOpened(connection.number))
+        self.handle(connection.node, pool_messages.ConnectionOpened(connection.number))
         for data in self.unsent.pop(connection.node, ()):
             connection.send(data)
 
@@ -247,17 +247,17 @@
                 self._director.notify_core(ev.SetupNotSent(key, node))
             elif self._director.core.is_waiting(key, node):
                 # nothing was sent, and another connection may be available
-                self.handle(node, server_pool.SetupQueued(key))
+                self.handle(node, pool_messages.SetupQueued(key))
             return
         if connection.transport.get_write_buffer_size():
             # the kernel accepts nothing: a set-up buffered here might be sent long after its client has left
-            self.handle(node, server_pool.SlotReleased(conn))
+            self.handle(node, pool_messages.SlotReleased(conn))
             self._director.notify_core(ev.SetupNotSent(key, node))
             return
         self._director.note_reset_client(key)
         data = self._director.core.take_setup(self._director.timeline.now(), key, node, conn)
         if data is None:
-            self.handle(node, server_pool.SlotReleased(conn))
+            self.handle(node, pool_messages.SlotReleased(conn))
         else:
             connection.send(data)
 
@@ -278,7 +278,7 @@
             return
         waiting = self.unsent.setdefault(node, deque(maxlen=MAX_UNSENT_MESSAGES))
         waiting.append(data)
-        self.handle(node, server_pool.ConnectRequested())
+        self.handle(node, pool_messages.ConnectRequested())
 
     def connection_dropped(self, connection: ServerConnection, corrupt: bool) -> None:
         """A connection to a server has closed or is `corrupt`: it received invalid data."""
@@ -288,7 +288,7 @@
         self._director.count["box connections spoilt" if corrupt else "box connections closed"] += 1
         # the core first: it may place the failed set-ups elsewhere at once
         self._director.notify_core(ev.ServerConnectionLost(connection.node, connection.number, corrupt))
-        self.handle(connection.node, server_pool.ConnectionLost(connection.number))
+        self.handle(connection.node, pool_messages.ConnectionLost(connection.number))
 
     def _close(self, node: int, conn: int) -> None:
         task = self.opening.pop((node, conn), None)
--- a/foxlift/platform/transport.py
+++ b/foxlift/platform/transport.py
@@ -13,7 +13,7 @@
 from typing import cast
 
 from foxlift.director.timeline import Timeline
-from foxlift.platform import descriptors, discovery_watch, server_pool
+from foxlift.platform import descriptors, discovery_watch, pool_messages
 from foxlift.platform import events as ev
 from foxlift.platform.admission import ConnectionAdmission
 from foxlift.platform.client_connection import ClientConnection
@@ -205,19 +205,19 @@
             case ev.QueueSetup(number, node):
                 self.servers.queue_setup(number, node)
             case ev.CancelSetup(number, node):
-                self.servers.handle(node, server_pool.SetupCancelled(number))
+                self.servers.handle(node, pool_messages.SetupCancelled(number))
             case ev.SendToServer(node, conn, data, this_connection_only):
                 self.servers.send(node, conn, data, this_connection_only)
             case ev.SetupFinished(node, conn):
-                self.servers.handle(node, server_pool.SlotReleased(conn))
+                self.servers.handle(node, pool_messages.SlotReleased(conn))
             case ev.SetSessionCount(node, count):
-                self.servers.handle(node, server_pool.SessionsChanged(count))
+                self.servers.handle(node, pool_messages.SessionsChanged(count))
             case ev.ChangeViewerSessions(conn, change):
                 self.admission.sessions_changed(conn, change)
             case ev.AddServer(node, address):
                 self.servers.server_listed(node, address)
             case ev.RemoveServer(node):
-                self.servers.handle(node, server_pool.ServerRemoved())
+                self.servers.handle(node, pool_messages.ServerRemoved())
             case ev.RecordProtocolError(conn):
                 client = self._clients.get(conn)
                 if self.admission.record_protocol_error(conn) and client is not None:
--- a/tests/test_platform_crossings.py
+++ b/tests/test_platform_crossings.py
@@ -36,7 +36,7 @@
     unsent,
 )
 
-from foxlift.platform import server_pool, stop
+from foxlift.platform import pool_messages, stop
 from foxlift.standins.platform import (
     StandInBox,
     StandInCoordinator,
@@ -489,7 +489,7 @@
                     await tries[-1]
                 except TimeoutError:
                     director.servers.opening.pop((node, conn), None)
-                    director.servers.handle(node, server_pool.ConnectionLost(conn))
+                    director.servers.handle(node, pool_messages.ConnectionLost(conn))
                 else:
                     await connect(node, conn, address)
 
--- a/tests/test_platform_departures.py
+++ b/tests/test_platform_departures.py
@@ -44,7 +44,7 @@
 )
 from test_platform_turns import LONG_TIME, accept_silently, idle_connection, write_now
 
-from foxlift.platform import rtsp, server_pool
+from foxlift.platform import pooled_connection, rtsp
 from foxlift.platform.buffers import HIGH_WATER_BYTES
 from foxlift.platform.client_connection import ClientConnection
 from foxlift.standins.platform import (
@@ -450,7 +450,8 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, way: str
 ) -> None:
     """The server may read again long after the client has left."""
-    monkeypatch.setattr(server_pool, "PING_IDLE_MS", 60_000.0)  # otherwise the connection would be closed
+    # otherwise the connection would be closed
+    monkeypatch.setattr(pooled_connection, "PING_IDLE_MS", 60_000.0)
 
     async def test() -> None:
         async with scene(tmp_path, servers=1, limits__max_streams=8) as world:
--- a/tests/test_platform_descriptors.py
+++ b/tests/test_platform_descriptors.py
@@ -18,7 +18,7 @@
 from ports import free_address
 from test_platform_sockets import Scene, client_connections, name, run_scenario, scene, unsent
 
-from foxlift.platform import server_pool
+from foxlift.platform import pool_messages, server_pool
 from foxlift.platform.admission import MAX_OVERSHOOT
 from foxlift.platform.descriptors import MAX_CLOSING, OWN_DESCRIPTORS, SERVER_MARGIN, share_out
 from foxlift.platform.eviction import (
@@ -217,18 +217,18 @@
     """A pool of a server with connections opened at `now`."""
     made = server_pool.ServerPool(1000.0, 30000.0, 4, 1)
     for key in range(connections):
-        made.handle(now, server_pool.SetupQueued(key))
-    for event in (server_pool.ConnectionOpened, server_pool.SlotReleased):
+        made.handle(now, pool_messages.SetupQueued(key))
+    for event in (pool_messages.ConnectionOpened, pool_messages.SlotReleased):
         for conn in list(made.connections):
             made.handle(now, event(conn))
     if standing:
-        made.handle(now, server_pool.SessionsChanged(standing))
+        made.handle(now, pool_messages.SessionsChanged(standing))
     return made
 
 
 def test_the_least_needed_server_connection_is_closed_for_another_server() -> None:
     in_use = make_pool(0.0)
-    in_use.handle(0.0, server_pool.SetupQueued(9))
+    in_use.handle(0.0, pool_messages.SetupQueued(9))
     servers = {
         1: in_use,
         2: make_pool(0.0, standing=1),
@@ -238,8 +238,8 @@
     order = []
     while (least := select_connection_to_close(1100.0, servers, MIN_LISTENING_MS)) is not None:
         order.append((least.node, least.conn))
-        assert servers[least.node].handle(1100.0, server_pool.ConnectionYielded(least.conn)) == [
-            server_pool.CloseConnection(least.conn)
+        assert servers[least.node].handle(1100.0, pool_messages.ConnectionYielded(least.conn)) == [
+            pool_messages.CloseConnection(least.conn)
         ]
     # idle ones by age, then those needed for sessions; one open for under a second stays
     assert [node for node, _ in order] == [4, 3, 2]
@@ -250,14 +250,14 @@
 
 def test_a_server_whose_connection_was_closed_for_another_reopens_it_after_a_wait() -> None:
     server = make_pool(0.0, standing=1)
-    server.handle(2000.0, server_pool.ConnectionYielded(1))
-    assert server.handle(2000.0 + server_pool.REOPEN_INTERVAL_MS / 2, server_pool.Tick()) == []
-    [again] = server.handle(2000.0 + server_pool.REOPEN_INTERVAL_MS, server_pool.Tick())
-    assert isinstance(again, server_pool.OpenConnection)
+    server.handle(2000.0, pool_messages.ConnectionYielded(1))
+    assert server.handle(2000.0 + server_pool.REOPEN_INTERVAL_MS / 2, pool_messages.Tick()) == []
+    [again] = server.handle(2000.0 + server_pool.REOPEN_INTERVAL_MS, pool_messages.Tick())
+    assert isinstance(again, pool_messages.OpenConnection)
     # still no descriptor: requested again after the same wait, and no sessions are lost
-    assert server.handle(2300.0, server_pool.ConnectionLost(again.conn)) == []
-    [once_more] = server.handle(2300.0 + server_pool.REOPEN_INTERVAL_MS, server_pool.Tick())
-    assert isinstance(once_more, server_pool.OpenConnection)
+    assert server.handle(2300.0, pool_messages.ConnectionLost(again.conn)) == []
+    [once_more] = server.handle(2300.0 + server_pool.REOPEN_INTERVAL_MS, pool_messages.Tick())
+    assert isinstance(once_more, pool_messages.OpenConnection)
 
 
 def test_only_the_connection_closed_first_is_aborted_for_another() -> None:
--- a/tests/test_platform_lines.py
+++ b/tests/test_platform_lines.py
@@ -10,7 +10,16 @@
 from foxlift import interface as fl
 from foxlift.decide.driver import Driver
 from foxlift.logic import Director
-from foxlift.platform import admission, descriptors, discovery_watch, server_pool, stop, viewer_releases
+from foxlift.platform import (
+    admission,
+    descriptors,
+    discovery_watch,
+    pool_messages,
+    pooled_connection,
+    server_pool,
+    stop,
+    viewer_releases,
+)
 from foxlift.platform.admission import ConnectionAdmission
 from foxlift.platform.loop_lag import EventLoopLag
 from foxlift.platform.settings import Address, read
@@ -24,131 +33,139 @@
     return server_pool.ServerPool(250.0, 30000.0, most, streams)
 
 
-def action_names(actions: list[server_pool.Action]) -> list[str]:
+def action_names(actions: list[pool_messages.Action]) -> list[str]:
     return [type(action).__name__ for action in actions]
 
 
 # ---- Server pools -----------------------------------------------------------------------------------------
 def test_a_set_up_has_its_connection_to_itself_while_more_may_be_opened() -> None:
     pool = make_pool(2)
-    assert pool.handle(0, server_pool.SetupQueued(1)) == [server_pool.OpenConnection(1, 250.0)]
-    assert pool.handle(0, server_pool.SetupQueued(2)) == [server_pool.OpenConnection(2, 250.0)]
-    assert pool.handle(1, server_pool.ConnectionOpened(1)) == [server_pool.UseConnection(1, 1)]
-    assert pool.handle(1, server_pool.ConnectionOpened(2)) == [server_pool.UseConnection(2, 2)]
+    assert pool.handle(0, pool_messages.SetupQueued(1)) == [pool_messages.OpenConnection(1, 250.0)]
+    assert pool.handle(0, pool_messages.SetupQueued(2)) == [pool_messages.OpenConnection(2, 250.0)]
+    assert pool.handle(1, pool_messages.ConnectionOpened(1)) == [pool_messages.UseConnection(1, 1)]
+    assert pool.handle(1, pool_messages.ConnectionOpened(2)) == [pool_messages.UseConnection(2, 2)]
     # no more may be opened: shared
-    assert pool.handle(2, server_pool.SetupQueued(3)) == [server_pool.UseConnection(1, 3)]
+    assert pool.handle(2, pool_messages.SetupQueued(3)) == [pool_messages.UseConnection(1, 3)]
     for conn in (1, 1, 2):
-        pool.handle(3, server_pool.SlotReleased(conn))
+        pool.handle(3, pool_messages.SlotReleased(conn))
     # idle ones are reused
-    assert action_names(pool.handle(4, server_pool.SetupQueued(4))) == ["UseConnection"]
+    assert action_names(pool.handle(4, pool_messages.SetupQueued(4))) == ["UseConnection"]
 
 
 def test_a_connection_that_is_not_up_in_time_or_refused_fails_one_waiting_set_up() -> None:
     pool = make_pool()
-    pool.handle(0, server_pool.SetupQueued(1))
-    pool.handle(0, server_pool.SetupQueued(2))
-    assert pool.handle(10, server_pool.ConnectionLost(1, refused=True)) == [server_pool.SetupUnreachable(1)]
-    assert pool.handle(249, server_pool.Tick()) == []
-    assert pool.handle(250, server_pool.Tick()) == [
-        server_pool.CloseConnection(2),
-        server_pool.SetupUnreachable(2),
+    pool.handle(0, pool_messages.SetupQueued(1))
+    pool.handle(0, pool_messages.SetupQueued(2))
+    assert pool.handle(10, pool_messages.ConnectionLost(1, refused=True)) == [
+        pool_messages.SetupUnreachable(1)
+    ]
+    assert pool.handle(249, pool_messages.Tick()) == []
+    assert pool.handle(250, pool_messages.Tick()) == [
+        pool_messages.CloseConnection(2),
+        pool_messages.SetupUnreachable(2),
     ]
-    assert pool.handle(260, server_pool.ConnectionOpened(2)) == [server_pool.CloseConnection(2)]  # too late
+    assert pool.handle(260, pool_messages.ConnectionOpened(2)) == [
+        pool_messages.CloseConnection(2)
+    ]  # too late
 
 
 def test_a_cancelled_set_up_is_not_sent() -> None:
     pool = make_pool()
-    pool.handle(0, server_pool.SetupQueued(1))
-    pool.handle(1, server_pool.SetupCancelled(1))
-    assert pool.handle(2, server_pool.ConnectionOpened(1)) == []
+    pool.handle(0, pool_messages.SetupQueued(1))
+    pool.handle(1, pool_messages.SetupCancelled(1))
+    assert pool.handle(2, pool_messages.ConnectionOpened(1)) == []
 
 
 def test_a_quiet_connection_with_a_set_up_is_pinged_and_closed() -> None:
     pool = make_pool()
-    pool.handle(0, server_pool.SetupQueued(1))
-    pool.handle(0, server_pool.ConnectionOpened(1))
-    assert pool.handle(server_pool.PING_IDLE_MS - 1, server_pool.Tick()) == []
-    assert pool.handle(server_pool.PING_IDLE_MS, server_pool.Tick()) == [server_pool.PingConnection(1)]
+    pool.handle(0, pool_messages.SetupQueued(1))
+    pool.handle(0, pool_messages.ConnectionOpened(1))
+    assert pool.handle(pooled_connection.PING_IDLE_MS - 1, pool_messages.Tick()) == []
+    assert pool.handle(pooled_connection.PING_IDLE_MS, pool_messages.Tick()) == [
+        pool_messages.PingConnection(1)
+    ]
     # may be dead: not used
-    assert action_names(pool.handle(server_pool.PING_IDLE_MS + 1, server_pool.SetupQueued(2))) == [
+    assert action_names(pool.handle(pooled_connection.PING_IDLE_MS + 1, pool_messages.SetupQueued(2))) == [
         "OpenConnection"
     ]
-    after = server_pool.PING_IDLE_MS + server_pool.PING_TIMEOUT_MS
-    assert server_pool.CloseConnection(1) in pool.handle(after, server_pool.Tick())
+    after = pooled_connection.PING_IDLE_MS + pooled_connection.PING_TIMEOUT_MS
+    assert pool_messages.CloseConnection(1) in pool.handle(after, pool_messages.Tick())
 
 
 def test_an_answered_ping_keeps_the_connection() -> None:
     pool = make_pool()
-    pool.handle(0, server_pool.SetupQueued(1))
-    pool.handle(0, server_pool.ConnectionOpened(1))
-    pool.handle(1000, server_pool.Tick())
-    pool.handle(1001, server_pool.DataReceived(1))
-    assert pool.handle(1800, server_pool.Tick()) == []
+    pool.handle(0, pool_messages.SetupQueued(1))
+    pool.handle(0, pool_messages.ConnectionOpened(1))
+    pool.handle(1000, pool_messages.Tick())
+    pool.handle(1001, pool_messages.DataReceived(1))
+    assert pool.handle(1800, pool_messages.Tick()) == []
     assert pool.latest_up == 1
 
 
 def test_a_closed_connection_loses_no_sessions_and_a_refused_one_does() -> None:
     pool = make_pool()
-    pool.handle(0, server_pool.SetupQueued(1))
-    pool.handle(0, server_pool.ConnectionOpened(1))
-    pool.handle(5, server_pool.SlotReleased(1))
-    assert pool.handle(5, server_pool.SessionsChanged(1)) == []
-    assert pool.handle(10, server_pool.ConnectionLost(1)) == [server_pool.OpenConnection(2, 250.0)]
-    assert pool.handle(11, server_pool.ConnectionOpened(2)) == [server_pool.PingConnection(2)]
-    assert pool.handle(20, server_pool.ConnectionLost(2)) == [server_pool.OpenConnection(3, 250.0)]
-    assert pool.handle(21, server_pool.ConnectionLost(3, refused=True)) == [
-        server_pool.SessionsLost("refused")
+    pool.handle(0, pool_messages.SetupQueued(1))
+    pool.handle(0, pool_messages.ConnectionOpened(1))
+    pool.handle(5, pool_messages.SlotReleased(1))
+    assert pool.handle(5, pool_messages.SessionsChanged(1)) == []
+    assert pool.handle(10, pool_messages.ConnectionLost(1)) == [pool_messages.OpenConnection(2, 250.0)]
+    assert pool.handle(11, pool_messages.ConnectionOpened(2)) == [pool_messages.PingConnection(2)]
+    assert pool.handle(20, pool_messages.ConnectionLost(2)) == [pool_messages.OpenConnection(3, 250.0)]
+    assert pool.handle(21, pool_messages.ConnectionLost(3, refused=True)) == [
+        pool_messages.SessionsLost("refused")
     ]
 
 
 def test_a_refused_connection_beside_an_open_one_loses_no_sessions() -> None:
     pool = make_pool()
-    pool.handle(0, server_pool.SetupQueued(1))
-    pool.handle(0, server_pool.ConnectionOpened(1))
-    pool.handle(0, server_pool.SessionsChanged(1))
-    pool.handle(1, server_pool.SetupQueued(2))
-    assert pool.handle(2, server_pool.ConnectionLost(2, refused=True)) == [server_pool.SetupUnreachable(2)]
+    pool.handle(0, pool_messages.SetupQueued(1))
+    pool.handle(0, pool_messages.ConnectionOpened(1))
+    pool.handle(0, pool_messages.SessionsChanged(1))
+    pool.handle(1, pool_messages.SetupQueued(2))
+    assert pool.handle(2, pool_messages.ConnectionLost(2, refused=True)) == [
+        pool_messages.SetupUnreachable(2)
+    ]
 
 
 def test_silence_ends_sessions_within_the_notification_deadline() -> None:
     pool = make_pool()
-    pool.handle(0, server_pool.SessionsChanged(3))
-    pool.handle(0, server_pool.ConnectionOpened(1))
+    pool.handle(0, pool_messages.SessionsChanged(3))
+    pool.handle(0, pool_messages.ConnectionOpened(1))
     lost = None
     now = 0.0
     while lost is None and now < 20000:
         now += 100
-        for action in pool.handle(now, server_pool.Tick()):
-            if isinstance(action, server_pool.SessionsLost):
+        for action in pool.handle(now, pool_messages.Tick()):
+            if isinstance(action, pool_messages.SessionsLost):
                 lost = now
     assert lost is not None and lost <= 6000
 
 
 def test_a_removed_server_is_not_connected_to_again() -> None:
     pool = make_pool()
-    pool.handle(0, server_pool.SetupQueued(1))
-    pool.handle(0, server_pool.ConnectionOpened(1))
-    pool.handle(5, server_pool.SlotReleased(1))
-    pool.handle(5, server_pool.SessionsChanged(1))
-    pool.handle(6, server_pool.ServerRemoved())
-    assert pool.handle(10, server_pool.ConnectionLost(1)) == [server_pool.SessionsLost("gone")]
-    pool.handle(10, server_pool.SessionsChanged(0))
+    pool.handle(0, pool_messages.SetupQueued(1))
+    pool.handle(0, pool_messages.ConnectionOpened(1))
+    pool.handle(5, pool_messages.SlotReleased(1))
+    pool.handle(5, pool_messages.SessionsChanged(1))
+    pool.handle(6, pool_messages.ServerRemoved())
+    assert pool.handle(10, pool_messages.ConnectionLost(1)) == [pool_messages.SessionsLost("gone")]
+    pool.handle(10, pool_messages.SessionsChanged(0))
     assert pool.unused
 
 
 def test_one_connection_is_kept_for_sessions_though_all_received_at_once() -> None:
     pool = make_pool(8)
     for k in (1, 2, 3):
-        pool.handle(0, server_pool.SetupQueued(k))
+        pool.handle(0, pool_messages.SetupQueued(k))
     for k in (1, 2, 3):
-        pool.handle(0, server_pool.ConnectionOpened(k))
+        pool.handle(0, pool_messages.ConnectionOpened(k))
     for k in (1, 2, 3):
-        pool.handle(1, server_pool.DataReceived(k))
-        pool.handle(1, server_pool.SlotReleased(k))
-    pool.handle(1, server_pool.SessionsChanged(3))
-    assert action_names(pool.handle(1000, server_pool.Tick())) == ["PingConnection"]
-    pool.handle(1001, server_pool.DataReceived(3))
-    assert action_names(pool.handle(18100, server_pool.Tick())).count("RetireConnection") == 2
+        pool.handle(1, pool_messages.DataReceived(k))
+        pool.handle(1, pool_messages.SlotReleased(k))
+    pool.handle(1, pool_messages.SessionsChanged(3))
+    assert action_names(pool.handle(1000, pool_messages.Tick())) == ["PingConnection"]
+    pool.handle(1001, pool_messages.DataReceived(3))
+    assert action_names(pool.handle(18100, pool_messages.Tick())).count("RetireConnection") == 2
     assert len(pool.connections) == 1
 
 
@@ -156,13 +173,13 @@
     """Retired connections are still read, since a release of the server may be under way."""
     pool = make_pool(8)
     for k in range(1, 6):
-        pool.handle(0, server_pool.SetupQueued(k))
+        pool.handle(0, pool_messages.SetupQueued(k))
     for k in range(1, 6):
-        pool.handle(0, server_pool.ConnectionOpened(k))
+        pool.handle(0, pool_messages.ConnectionOpened(k))
     for k in range(1, 6):
-        pool.handle(1, server_pool.SlotReleased(k))
-    assert pool.handle(17000, server_pool.Tick()) == []
-    assert action_names(pool.handle(18001, server_pool.Tick())) == ["RetireConnection"] * 5
+        pool.handle(1, pool_messages.SlotReleased(k))
+    assert pool.handle(17000, pool_messages.Tick()) == []
+    assert action_names(pool.handle(18001, pool_messages.Tick())) == ["RetireConnection"] * 5
     assert not pool.connections
 
 
@@ -171,17 +188,17 @@
     idle_ms: float,
 ) -> None:
     pool = server_pool.ServerPool(250.0, idle_ms, 4, 1)
-    pool.handle(0, server_pool.SessionsChanged(1))
-    pool.handle(1, server_pool.ConnectionOpened(1))
-    pool.handle(2, server_pool.DataReceived(1))
+    pool.handle(0, pool_messages.SessionsChanged(1))
+    pool.handle(1, pool_messages.ConnectionOpened(1))
+    pool.handle(2, pool_messages.DataReceived(1))
     used, tests = 2.0, 0
     for now in range(100, 20_000, 100):
         assert now - used < idle_ms, "closed by the box as idle"
-        for action in pool.handle(now, server_pool.Tick()):
-            assert isinstance(action, server_pool.PingConnection)  # and never closed or reopened
+        for action in pool.handle(now, pool_messages.Tick()):
+            assert isinstance(action, pool_messages.PingConnection)  # and never closed or reopened
             used, tests = now, tests + 1
-            pool.handle(now + 1, server_pool.DataReceived(1))
-    assert tests <= 20_000 / min(idle_ms * server_pool.MAX_IDLE_RATIO, server_pool.PING_IDLE_MS)
+            pool.handle(now + 1, pool_messages.DataReceived(1))
+    assert tests <= 20_000 / min(idle_ms * pooled_connection.MAX_IDLE_RATIO, pooled_connection.PING_IDLE_MS)
 
 
 @given(st.lists(st.tuples(st.sampled_from("wurfdhstgk"), st.integers(1, 6)), max_size=120))
@@ -193,20 +210,20 @@
     wants: set[int] = set()
     now, key = 0.0, 0
 
-    def look(actions: list[server_pool.Action]) -> None:
+    def look(actions: list[pool_messages.Action]) -> None:
         for action in actions:
             match action:
-                case server_pool.OpenConnection(conn, _):
+                case pool_messages.OpenConnection(conn, _):
                     opening.add(conn)
-                case server_pool.UseConnection(conn, k):
+                case pool_messages.UseConnection(conn, k):
                     assert conn in up
                     wants.remove(k)
-                case server_pool.SetupUnreachable(k):
+                case pool_messages.SetupUnreachable(k):
                     wants.remove(k)
-                case server_pool.CloseConnection(conn) | server_pool.RetireConnection(conn):
+                case pool_messages.CloseConnection(conn) | pool_messages.RetireConnection(conn):
                     up.discard(conn)
                     opening.discard(conn)
-                case server_pool.PingConnection(conn):
+                case pool_messages.PingConnection(conn):
                     assert conn in up
 
     for what, n in steps:
@@ -215,40 +232,40 @@
             case "w":
                 key += 1
                 wants.add(key)
-                look(pool.handle(now, server_pool.SetupQueued(key)))
+                look(pool.handle(now, pool_messages.SetupQueued(key)))
             case "u" if opening:
                 conn = min(opening)
                 opening.discard(conn)
                 up.add(conn)
-                look(pool.handle(now, server_pool.ConnectionOpened(conn)))
+                look(pool.handle(now, pool_messages.ConnectionOpened(conn)))
             case "r" if opening:
                 conn = max(opening)
                 opening.discard(conn)
-                look(pool.handle(now, server_pool.ConnectionLost(conn, refused=True)))
+                look(pool.handle(now, pool_messages.ConnectionLost(conn, refused=True)))
             case "f" if up:
-                look(pool.handle(now, server_pool.SlotReleased(max(up))))
+                look(pool.handle(now, pool_messages.SlotReleased(max(up))))
             case "d" if up:
                 conn = min(up)
                 up.discard(conn)
-                look(pool.handle(now, server_pool.ConnectionLost(conn)))
+                look(pool.handle(now, pool_messages.ConnectionLost(conn)))
             case "h" if up:
-                look(pool.handle(now, server_pool.DataReceived(min(up))))
+                look(pool.handle(now, pool_messages.DataReceived(min(up))))
             case "s":
-                look(pool.handle(now, server_pool.SessionsChanged(n - 1)))
+                look(pool.handle(now, pool_messages.SessionsChanged(n - 1)))
             case "t":
                 now += 300.0 * n
-                look(pool.handle(now, server_pool.Tick()))
+                look(pool.handle(now, pool_messages.Tick()))
             case "g":
-                look(pool.handle(now, server_pool.ConnectRequested()))
+                look(pool.handle(now, pool_messages.ConnectRequested()))
             case "k" if wants:
                 taken_back = max(wants)
                 wants.discard(taken_back)
-                look(pool.handle(now, server_pool.SetupCancelled(taken_back)))
+                look(pool.handle(now, pool_messages.SetupCancelled(taken_back)))
         assert len(pool.connections) <= 3
     now += 10000
     for _ in range(4):
         now += 300
-        look(pool.handle(now, server_pool.Tick()))
+        look(pool.handle(now, pool_messages.Tick()))
     if not up:
         # no set-up waits unless a connection is being opened
         assert not pool.waiting or opening
@@ -522,11 +539,11 @@
 def test_set_ups_beyond_the_maximum_of_streams_wait() -> None:
     pool = make_pool(most=1, streams=2)
     for key in (1, 2, 3):
-        pool.handle(0, server_pool.SetupQueued(key))
-    assert pool.handle(1, server_pool.ConnectionOpened(1)) == [server_pool.UseConnection(1, 1)]
-    assert pool.handle(2, server_pool.SetupQueued(4)) == [server_pool.UseConnection(1, 4)]
-    assert pool.handle(3, server_pool.SetupQueued(5)) == [] and pool.in_flight == 2
-    assert pool.handle(4, server_pool.SlotReleased(1)) == [server_pool.UseConnection(1, 2)]
+        pool.handle(0, pool_messages.SetupQueued(key))
+    assert pool.handle(1, pool_messages.ConnectionOpened(1)) == [pool_messages.UseConnection(1, 1)]
+    assert pool.handle(2, pool_messages.SetupQueued(4)) == [pool_messages.UseConnection(1, 4)]
+    assert pool.handle(3, pool_messages.SetupQueued(5)) == [] and pool.in_flight == 2
+    assert pool.handle(4, pool_messages.SlotReleased(1)) == [pool_messages.UseConnection(1, 2)]
     assert [key for key, _ in pool.waiting] == [3, 5]
 
 
@@ -618,82 +635,82 @@
 
 def test_an_unsent_message_opens_connections_until_one_is_up_or_the_server_is_gone() -> None:
     pool = make_pool(most=1)
-    assert pool.handle(0, server_pool.SetupQueued(7)) == [server_pool.OpenConnection(1, 250.0)]
-    assert pool.handle(10, server_pool.ConnectRequested()) == []  # one is being opened
-    assert pool.handle(250, server_pool.ConnectionLost(1)) == [server_pool.SetupUnreachable(7)]
+    assert pool.handle(0, pool_messages.SetupQueued(7)) == [pool_messages.OpenConnection(1, 250.0)]
+    assert pool.handle(10, pool_messages.ConnectRequested()) == []  # one is being opened
+    assert pool.handle(250, pool_messages.ConnectionLost(1)) == [pool_messages.SetupUnreachable(7)]
     opened_at = [
-        now for now in range(300, 20_000, 100) for a in pool.handle(now, server_pool.Tick()) if a in OPENS
+        now for now in range(300, 20_000, 100) for a in pool.handle(now, pool_messages.Tick()) if a in OPENS
     ]
     assert opened_at[0] == 300 and len(opened_at) < 12  # each attempt fails, and the waits grow
     assert (
-        pool.handle(20_000, server_pool.ConnectionOpened(pool._last_conn)) == []
+        pool.handle(20_000, pool_messages.ConnectionOpened(pool._last_conn)) == []
         and not pool.connect_requested
     )
     refused = make_pool()
-    assert refused.handle(0, server_pool.ConnectRequested()) == [server_pool.OpenConnection(1, 250.0)]
+    assert refused.handle(0, pool_messages.ConnectRequested()) == [pool_messages.OpenConnection(1, 250.0)]
     # its process is gone, and with it its sessions
-    assert refused.handle(5, server_pool.ConnectionLost(1, True)) == [server_pool.DiscardUnsent()]
-    assert refused.handle(900, server_pool.Tick()) == []
+    assert refused.handle(5, pool_messages.ConnectionLost(1, True)) == [pool_messages.DiscardUnsent()]
+    assert refused.handle(900, pool_messages.Tick()) == []
 
 
-OPENS = [server_pool.OpenConnection(k, 250.0) for k in range(1, 40)]
+OPENS = [pool_messages.OpenConnection(k, 250.0) for k in range(1, 40)]
 
 
 def test_a_removed_server_is_not_connected_to_and_a_relisted_one_is() -> None:
     pool = make_pool()
-    pool.handle(0, server_pool.SetupQueued(7))
-    assert pool.handle(1, server_pool.ServerRemoved()) == [
-        server_pool.CloseConnection(1),
-        server_pool.SetupUnreachable(7),
+    pool.handle(0, pool_messages.SetupQueued(7))
+    assert pool.handle(1, pool_messages.ServerRemoved()) == [
+        pool_messages.CloseConnection(1),
+        pool_messages.SetupUnreachable(7),
     ]
-    pool.handle(2, server_pool.ServerListed(False))
-    assert not pool.is_removed and pool.handle(3, server_pool.SetupQueued(8)) == [
-        server_pool.OpenConnection(2, 250.0)
+    pool.handle(2, pool_messages.ServerListed(False))
+    assert not pool.is_removed and pool.handle(3, pool_messages.SetupQueued(8)) == [
+        pool_messages.OpenConnection(2, 250.0)
     ]
-    pool.handle(4, server_pool.ConnectionOpened(2))
-    pool.handle(5, server_pool.SetupQueued(9))
-    pool.handle(6, server_pool.ConnectionOpened(3))
-    pool.handle(7, server_pool.SlotReleased(3))
+    pool.handle(4, pool_messages.ConnectionOpened(2))
+    pool.handle(5, pool_messages.SetupQueued(9))
+    pool.handle(6, pool_messages.ConnectionOpened(3))
+    pool.handle(7, pool_messages.SlotReleased(3))
     # at another address: the idle connection is retired, the other finishes its set-up and gets no new one
-    assert pool.handle(8, server_pool.ServerListed(True)) == [server_pool.RetireConnection(3)]
-    assert pool.handle(9, server_pool.SetupQueued(10)) == [server_pool.OpenConnection(4, 250.0)]
-    pool.handle(10, server_pool.SlotReleased(2))
-    assert server_pool.RetireConnection(2) in pool.handle(11, server_pool.Tick())
+    assert pool.handle(8, pool_messages.ServerListed(True)) == [pool_messages.RetireConnection(3)]
+    assert pool.handle(9, pool_messages.SetupQueued(10)) == [pool_messages.OpenConnection(4, 250.0)]
+    pool.handle(10, pool_messages.SlotReleased(2))
+    assert pool_messages.RetireConnection(2) in pool.handle(11, pool_messages.Tick())
 
 
 def test_a_set_up_queued_while_the_only_connection_is_pinged_is_sent_after_the_answer() -> None:
     pool = make_pool(most=1)
-    pool.handle(0, server_pool.SessionsChanged(1))
-    pool.handle(1, server_pool.ConnectionOpened(1))
-    pool.handle(2, server_pool.DataReceived(1))
-    assert pool.handle(1000, server_pool.Tick()) == [server_pool.PingConnection(1)]
+    pool.handle(0, pool_messages.SessionsChanged(1))
+    pool.handle(1, pool_messages.ConnectionOpened(1))
+    pool.handle(2, pool_messages.DataReceived(1))
+    assert pool.handle(1000, pool_messages.Tick()) == [pool_messages.PingConnection(1)]
     for key in (7, 8):
         # it may be dead, and no other may be opened
-        assert pool.handle(1001, server_pool.SetupQueued(key)) == []
-    assert pool.handle(1002, server_pool.DataReceived(1)) == [
-        server_pool.UseConnection(1, 7),
-        server_pool.UseConnection(1, 8),
+        assert pool.handle(1001, pool_messages.SetupQueued(key)) == []
+    assert pool.handle(1002, pool_messages.DataReceived(1)) == [
+        pool_messages.UseConnection(1, 7),
+        pool_messages.UseConnection(1, 8),
     ]
     assert not pool.waiting and pool.in_flight == 2
     narrow = make_pool(most=1, streams=1)
-    narrow.handle(0, server_pool.SessionsChanged(1))
-    narrow.handle(1, server_pool.ConnectionOpened(1))
+    narrow.handle(0, pool_messages.SessionsChanged(1))
+    narrow.handle(1, pool_messages.ConnectionOpened(1))
     assert narrow.connections[1].pinged_at
     for key in (7, 8):
-        narrow.handle(2, server_pool.SetupQueued(key))
-    assert narrow.handle(3, server_pool.DataReceived(1)) == [server_pool.UseConnection(1, 7)]
-    assert narrow.handle(4, server_pool.SlotReleased(1)) == [server_pool.UseConnection(1, 8)]
+        narrow.handle(2, pool_messages.SetupQueued(key))
+    assert narrow.handle(3, pool_messages.DataReceived(1)) == [pool_messages.UseConnection(1, 7)]
+    assert narrow.handle(4, pool_messages.SlotReleased(1)) == [pool_messages.UseConnection(1, 8)]
 
 
 def test_waiting_set_ups_get_a_connection_when_the_last_one_had_a_former_address() -> None:
     pool = make_pool(most=1)
-    pool.handle(0, server_pool.SetupQueued(7))
-    pool.handle(1, server_pool.ConnectionOpened(1))
-    pool.handle(2, server_pool.ServerListed(True))
-    assert pool.handle(3, server_pool.SetupQueued(8)) == []
-    assert pool.handle(4, server_pool.SlotReleased(1)) == []
-    assert pool.handle(100, server_pool.Tick()) == [
-        server_pool.RetireConnection(1),
-        server_pool.OpenConnection(2, 250.0),
+    pool.handle(0, pool_messages.SetupQueued(7))
+    pool.handle(1, pool_messages.ConnectionOpened(1))
+    pool.handle(2, pool_messages.ServerListed(True))
+    assert pool.handle(3, pool_messages.SetupQueued(8)) == []
+    assert pool.handle(4, pool_messages.SlotReleased(1)) == []
+    assert pool.handle(100, pool_messages.Tick()) == [
+        pool_messages.RetireConnection(1),
+        pool_messages.OpenConnection(2, 250.0),
     ]
-    assert pool.handle(101, server_pool.ConnectionOpened(2)) == [server_pool.UseConnection(2, 8)]
+    assert pool.handle(101, pool_messages.ConnectionOpened(2)) == [pool_messages.UseConnection(2, 8)]
--- a/tests/test_platform_session_endings.py
+++ b/tests/test_platform_session_endings.py
@@ -10,7 +10,7 @@
 
 from foxlift import interface as fl
 from foxlift.platform import events as ev
-from foxlift.platform import server_pool
+from foxlift.platform import pool_messages
 from foxlift.platform.session_endings import (
     END_RETENTION_MS,
     MAX_ENTRIES,
@@ -104,7 +104,7 @@
     node, _ = world.start_session(name(1))
     world.handle(ev.ServerLost(node, "gone"))
     assert world.verbs(name(1)) == ["STARTED", "FINISH"] and not methods_sent(world, name(1))
-    world.handle(ev.ServerLost(*world.start_session(name(2))[:1], server_pool.SILENT))
+    world.handle(ev.ServerLost(*world.start_session(name(2))[:1], pool_messages.SILENT))
     assert world.verbs(name(2)) == ["STARTED", "FINISH"] and methods_sent(world, name(2)) == [b"TEARDOWN"]
 
 
@@ -113,16 +113,16 @@
     back: float, lost: bool
 ) -> None:
     server = make_pool()
-    server.handle(0, server_pool.SessionsChanged(1))
-    server.handle(1, server_pool.ConnectionOpened(1))
-    server.handle(2, server_pool.DataReceived(1))
+    server.handle(0, pool_messages.SessionsChanged(1))
+    server.handle(1, pool_messages.ConnectionOpened(1))
+    server.handle(2, pool_messages.DataReceived(1))
     for now in range(100, int(back), 100):  # each attempt to connect times out
-        for action in server.handle(now, server_pool.Tick()):
-            assert not isinstance(action, server_pool.SessionsLost)
+        for action in server.handle(now, pool_messages.Tick()):
+            assert not isinstance(action, pool_messages.SessionsLost)
     opening = [conn for conn, connection in server.connections.items() if not connection.up]
-    said = server.handle(back, server_pool.ConnectionOpened(opening[-1])) if opening else []
-    assert opening and (server_pool.SessionsLost(server_pool.SILENT) in said) is lost
-    assert said[-1] == server_pool.PingConnection(opening[-1])
+    said = server.handle(back, pool_messages.ConnectionOpened(opening[-1])) if opening else []
+    assert opening and (pool_messages.SessionsLost(pool_messages.SILENT) in said) is lost
+    assert said[-1] == pool_messages.PingConnection(opening[-1])
 
 
 def test_recorded_ends_and_releases_are_bounded_in_number_and_time() -> None:
--- a/tests/test_platform_turns.py
+++ b/tests/test_platform_turns.py
@@ -23,7 +23,7 @@
 from test_platform_crossings import Leaver, left_by, push, sent, serve_another, stall_loop
 from test_platform_sockets import Scene, client_connections, name, process, run_scenario, scene
 
-from foxlift.platform import admission, server_pool
+from foxlift.platform import admission, pool_messages
 from foxlift.platform.buffers import HIGH_WATER_BYTES
 from foxlift.standins.platform import (
     StandInBox,
@@ -428,9 +428,9 @@
 
             handle = director.servers.handle
 
-            def faulty(node: int, event: server_pool.Event) -> None:
+            def faulty(node: int, event: pool_messages.Event) -> None:
                 nonlocal faults
-                if isinstance(event, server_pool.Tick):
+                if isinstance(event, pool_messages.Tick):
                     faults += 1
                     raise RuntimeError("fault")
                 handle(node, event)
