A message of a media server that begins and does not end closes its connection

Cause: the reader kept the bytes of a message that had begun and nobody asked for how long, so pings, set-ups and releases followed on the same connection. The pool is now told; nothing is sent there meanwhile, and after 0.9 s, the time that a ping has, the connection is closed.

--- a/foxlift/platform/pool_messages.py
+++ b/foxlift/platform/pool_messages.py
@@ -49,6 +49,14 @@
     conn: int
 
 
+@dataclass(frozen=True, slots=True)
+class PartialMessage:
+    """A message has begun to arrive and is incomplete (`pending`), or nothing incomplete is left."""
+
+    conn: int
+    pending: bool
+
+
 @dataclass(frozen=True, slots=True)
 class SlotReleased:
     """A set-up that was assigned to the connection has ended."""
@@ -94,6 +102,7 @@
     | ConnectionOpened
     | ConnectionLost
     | DataReceived
+    | PartialMessage
     | SlotReleased
     | SessionsChanged
     | ServerRemoved
--- a/foxlift/platform/pooled_connection.py
+++ b/foxlift/platform/pooled_connection.py
@@ -6,6 +6,7 @@
 
 PING_IDLE_MS = 900.0  # silence after which a connection with unanswered set-ups or sessions is pinged
 PING_TIMEOUT_MS = 900.0  # a running server answers a ping at once, however slow its set-ups are
+INCOMPLETE_TIMEOUT_MS = PING_TIMEOUT_MS  # the rest of a message that has begun follows at once, too
 MAX_IDLE_RATIO = 0.6  # of the server's idle timeout; after that this side closes first
 
 
@@ -20,12 +21,23 @@
     last_received_at: float = 0.0
     last_used_at: float = 0.0
     pinged_at: float = 0.0  # 0: no unanswered ping
+    incomplete_since: float = 0.0  # when a message began of which a part is missing; 0: none
     outdated: bool = False  # to a former address of the server: no new set-ups are sent on it
 
     @property
     def is_usable(self) -> bool:
         """Whether set-ups may be sent on it: it is up, and nothing suggests that it may be dead."""
-        return self.up and not (self.pinged_at or self.outdated)
+        return self.up and not (self.pinged_at or self.is_doubtful or self.outdated)
+
+    @property
+    def is_doubtful(self) -> bool:
+        """Whether the rest of a message is missing on this connection."""
+        return self.incomplete_since > 0
+
+    @property
+    def may_be_pinged(self) -> bool:
+        """Whether a ping may be sent: its answer must not be taken for the rest of an incomplete message."""
+        return not (self.pinged_at or self.incomplete_since)
 
     def is_idle(self, now: float) -> bool:
         """Return whether it was unused for so long that the server may be closing it."""
@@ -33,7 +45,7 @@
 
     def is_ping_due(self, now: float, is_needed: bool) -> bool:
         """Return whether to ping it. `is_needed`: it has unanswered set-ups or receives for sessions."""
-        return not self.pinged_at and is_needed and self.is_quiet(now)
+        return self.may_be_pinged and is_needed and self.is_quiet(now)
 
     def setup_ended(self) -> None:
         """Record the end of a set-up on this connection."""
@@ -45,5 +57,7 @@
         return quiet_ms >= min(PING_IDLE_MS, self.idle_timeout_ms * MAX_IDLE_RATIO)
 
     def is_dead(self, now: float) -> bool:
-        """Return whether the answer to a ping is overdue."""
+        """Return whether a message of the server is overdue: the answer to a ping, or the rest of one."""
+        if self.incomplete_since and now - self.incomplete_since >= INCOMPLETE_TIMEOUT_MS:
+            return True
         return bool(self.pinged_at) and now - self.pinged_at >= PING_TIMEOUT_MS
--- a/foxlift/platform/server_connection.py
+++ b/foxlift/platform/server_connection.py
@@ -43,6 +43,7 @@
         self._owner, self.node, self.number = owner, node, number
         self._reader = rtsp.MessageReader()
         self._corrupt = self.retired = False
+        self._has_partial_message = False
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -69,6 +70,14 @@
             if not rtsp.is_failed_ping(message):
                 self._owner.handle(self.node, pool_messages.DataReceived(self.number))
             self._owner.notify_core(ev.ServerMessageReceived(self.node, self.number, message))
+        self._report_partial_message()
+
+    def _report_partial_message(self) -> None:
+        """Notify the pool if a message is now incomplete, or no longer."""
+        pending = bool(self._reader.pending)
+        if pending != self._has_partial_message:
+            self._has_partial_message = pending
+            self._owner.handle(self.node, pool_messages.PartialMessage(self.number, pending))
 
     def connection_lost(self, error: Exception | None) -> None:
         """Handle the closed connection."""
--- a/foxlift/platform/server_pool.py
+++ b/foxlift/platform/server_pool.py
@@ -7,6 +7,7 @@
     UP          SetupQueued, none unanswered    UP       the set-up is sent on it
     UP          quiet while needed              UP       ping
     UP          ping not answered               (none)   close: set-ups unanswered on it have failed
+    UP          a message begun and not ended   (none)   close, as above
     UP          ConnectionLost                  (none)   open another if sessions play there
     UP          idle for long                   (none)   retire, before the server closes it during a set-up
     any         ConnectRequested, none open     OPENING  open one, repeat until one is up
@@ -63,6 +64,8 @@
         match event:
             case messages.DataReceived(conn):
                 return self._data_received(now, conn)
+            case messages.PartialMessage(conn, pending):
+                return self._partial_message(now, conn, pending)
             case messages.SetupQueued(key):
                 return self._queue_setup(now, key)
             case messages.SlotReleased(conn):
@@ -90,9 +93,11 @@
 
     @property
     def latest_up(self) -> int | None:
-        """The open connection on which a message was received last."""
-        open_connections = [(c.last_received_at, number) for number, c in self.connections.items() if c.up]
-        return max(open_connections)[1] if open_connections else None
+        """The open connection on which a message was received last; one on which none is overdue first."""
+        open_connections = [
+            (not c.is_doubtful, c.last_received_at, number) for number, c in self.connections.items() if c.up
+        ]
+        return max(open_connections)[2] if open_connections else None
 
     @property
     def in_flight(self) -> int:
@@ -168,11 +173,23 @@
         if conn is None:
             return []
         conn.last_received_at = now
+        if conn.incomplete_since:
+            conn.incomplete_since = now  # if another message has begun, its time begins now
         if not conn.pinged_at:
             return []
         conn.pinged_at = 0.0
         return self._assign_waiting(now, number, conn)
 
+    def _partial_message(self, now: float, number: int, pending: bool) -> list[messages.Action]:
+        conn = self.connections.get(number)
+        if conn is None:
+            return []
+        if pending:
+            conn.incomplete_since = conn.incomplete_since or now
+            return []
+        conn.incomplete_since = 0.0
+        return self._assign_waiting(now, number, conn)
+
     def _assign_waiting(self, now: float, number: int, conn: PooledConnection) -> list[messages.Action]:
         """Send the set-ups that waited for this connection, which is usable again.
 
--- a/foxlift/standins/platform.py
+++ b/foxlift/standins/platform.py
@@ -58,6 +58,7 @@
         self.writers: list[asyncio.StreamWriter] = []
         self.ended = 0  # connections that the other side has ended
         self.behave: Callable[[str, bytes, asyncio.StreamWriter], bool] | None = None
+        self.struck: set[asyncio.StreamWriter] = set()  # nothing of this box gets through; they stay open
         self.arrived = asyncio.Event()
         self.address = ""
         self._server: asyncio.Server | None = None
@@ -87,6 +88,8 @@
                 method, tag = first.split(" ")[0], headers["session"]
                 self.got.append((method, tag, headers))
                 self.arrived.set()
+                if writer in self.struck:
+                    continue
                 if method == "OPTIONS":
                     writer.write(rtsp_answer(200, tag, cseq=3))
                 elif method == "SETUP" and (self.behave is None or not self.behave(tag, body, writer)):
