No set-up goes out on a connection whose last answer is overdue; it is pinged

Seen: an answer never came and its connection stayed open. The next set-ups went out on it and timed out one after another.

Cause: with the end of a set-up the pool counted its connection as free, whether an answer had come or not. SlotReleased tells now how the set-up ended: after an overdue answer no set-up until any message comes, and a ping at the next tick; after a cancelled one a ping only.

--- a/foxlift/platform/core.py
+++ b/foxlift/platform/core.py
@@ -33,6 +33,7 @@
 from foxlift.logic import Director
 from foxlift.platform import discovery_watch, pool_messages, rtsp, viewers
 from foxlift.platform import events as ev
+from foxlift.platform.pooled_connection import SetupAnswer
 from foxlift.platform.session_endings import EndSource, SessionEndings
 from foxlift.platform.settings import Address, Config, ListUpdate
 from foxlift.platform.viewer_releases import ViewerReleases, Write
@@ -47,6 +48,11 @@
 MAX_HANDOVERS = 4096  # waiting at the same time
 
 _REFUSAL_OUTCOMES = {453: fl.Outcome.FULL, 454: fl.Outcome.NEVER_SENT, 504: fl.Outcome.RESET}  # others: ERROR
+# of a set-up that was sent; with all other outcomes, its answer was received
+_MISSING_ANSWERS = {
+    fl.Outcome.TIMEOUT: SetupAnswer.OVERDUE,
+    fl.Outcome.CANCELLED: SetupAnswer.CANCELLED,
+}
 _RELEASE_OUTCOMES = {16: fl.Outcome.OK, 31: fl.Outcome.CANCELLED}  # others: RESET
 _NOTE_KINDS = {
     "delivered": fl.NoteKind.DELIVERED,
@@ -536,7 +542,8 @@
             self.counts["attempt " + ended.outcome.value] += 1
             if session.server_conn > 0:
                 self._setup_finished(session)
-                self._actions.append(ev.SetupFinished(ended.node, session.server_conn))
+                answer = _MISSING_ANSWERS.get(ended.outcome, SetupAnswer.RECEIVED)
+                self._actions.append(ev.SetupFinished(ended.node, session.server_conn, answer))
             if session.state is _State.WITHDRAWN:
                 self.sessions.pop(session.number, None)
         final = ended.had_started or session.state is _State.WITHDRAWN
--- a/foxlift/platform/events.py
+++ b/foxlift/platform/events.py
@@ -6,6 +6,7 @@
 
 from foxlift import interface as fl
 from foxlift.platform import rtsp, viewers
+from foxlift.platform.pooled_connection import SetupAnswer
 from foxlift.platform.settings import Address, ListUpdate
 
 
@@ -158,6 +159,7 @@
 
     node: int
     conn: int
+    answer: SetupAnswer = SetupAnswer.RECEIVED
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxlift/platform/pool_messages.py
+++ b/foxlift/platform/pool_messages.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from foxlift.platform.pooled_connection import SetupAnswer
+
 SILENT = "silent"  # reason of the loss of a server whose state is unknown
 
 
@@ -62,6 +64,7 @@
     """A set-up that was assigned to the connection has ended."""
 
     conn: int
+    answer: SetupAnswer = SetupAnswer.RECEIVED
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxlift/platform/pooled_connection.py
+++ b/foxlift/platform/pooled_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 
 PING_IDLE_MS = 900.0  # silence after which a connection with unanswered set-ups or sessions is pinged
 PING_TIMEOUT_MS = 900.0  # a running server answers a ping at once, however slow its set-ups are
@@ -10,6 +11,14 @@
 MAX_IDLE_RATIO = 0.6  # of the server's idle timeout; after that this side closes first
 
 
+class SetupAnswer(Enum):
+    """Whether a set-up that was sent on a connection has ended with its answer."""
+
+    RECEIVED = "received, or nothing was sent"
+    CANCELLED = "cancelled before its answer"
+    OVERDUE = "not received within the set-up's time"
+
+
 @dataclass(slots=True)
 class PooledConnection:
     """One connection of a `ServerPool`. All times in ms on the clock of the pool's events."""
@@ -22,6 +31,7 @@
     last_used_at: float = 0.0
     pinged_at: float = 0.0  # 0: no unanswered ping
     incomplete_since: float = 0.0  # when a message began of which a part is missing; 0: none
+    missing_answer: SetupAnswer | None = None  # of a set-up that has ended; None once a message has come
     outdated: bool = False  # to a former address of the server: no new set-ups are sent on it
 
     @property
@@ -31,8 +41,8 @@
 
     @property
     def is_doubtful(self) -> bool:
-        """Whether the rest of a message is missing on this connection."""
-        return self.incomplete_since > 0
+        """Whether a message of the server, or the rest of one, is overdue on this connection."""
+        return self.missing_answer is SetupAnswer.OVERDUE or self.incomplete_since > 0
 
     @property
     def may_be_pinged(self) -> bool:
@@ -45,11 +55,14 @@
 
     def is_ping_due(self, now: float, is_needed: bool) -> bool:
         """Return whether to ping it. `is_needed`: it has unanswered set-ups or receives for sessions."""
-        return self.may_be_pinged and is_needed and self.is_quiet(now)
+        unproven = self.missing_answer is not None
+        return self.may_be_pinged and (unproven or (is_needed and self.is_quiet(now)))
 
-    def setup_ended(self) -> None:
+    def setup_ended(self, answer: SetupAnswer) -> None:
         """Record the end of a set-up on this connection."""
         self.in_flight = max(self.in_flight - 1, 0)
+        if answer is not SetupAnswer.RECEIVED and self.missing_answer is not SetupAnswer.OVERDUE:
+            self.missing_answer = answer
 
     def is_quiet(self, now: float) -> bool:
         """Return whether nothing was sent or received for so long that it must be pinged if it is needed."""
--- a/foxlift/platform/server_pool.py
+++ b/foxlift/platform/server_pool.py
@@ -7,6 +7,8 @@
     UP          SetupQueued, none unanswered    UP       the set-up is sent on it
     UP          quiet while needed              UP       ping
     UP          ping not answered               (none)   close: set-ups unanswered on it have failed
+    UP          a set-up ends unanswered        UP       ping, unless a message comes before
+    UP          a set-up's answer is overdue    UP       the same, and no new set-ups until a message comes
     UP          a message begun and not ended   (none)   close, as above
     UP          ConnectionLost                  (none)   open another if sessions play there
     UP          idle for long                   (none)   retire, before the server closes it during a set-up
@@ -29,7 +31,7 @@
 from dataclasses import dataclass, field
 
 from foxlift.platform import pool_messages as messages
-from foxlift.platform.pooled_connection import PooledConnection
+from foxlift.platform.pooled_connection import PooledConnection, SetupAnswer
 
 # sessions are lost after this silence; viewers must be notified within 8 s of an end
 SILENCE_TIMEOUT_MS = 5000.0
@@ -68,8 +70,8 @@
                 return self._partial_message(now, conn, pending)
             case messages.SetupQueued(key):
                 return self._queue_setup(now, key)
-            case messages.SlotReleased(conn):
-                return self._slot_released(now, conn)
+            case messages.SlotReleased(conn, answer):
+                return self._slot_released(now, conn, answer)
             case messages.SetupCancelled(key):
                 self.waiting = deque(wait for wait in self.waiting if wait[0] != key)
                 return []
@@ -175,9 +177,9 @@
         conn.last_received_at = now
         if conn.incomplete_since:
             conn.incomplete_since = now  # if another message has begun, its time begins now
-        if not conn.pinged_at:
+        if not (conn.pinged_at or conn.missing_answer):
             return []
-        conn.pinged_at = 0.0
+        conn.pinged_at, conn.missing_answer = 0.0, None
         return self._assign_waiting(now, number, conn)
 
     def _partial_message(self, now: float, number: int, pending: bool) -> list[messages.Action]:
@@ -201,11 +203,11 @@
         room = min(len(self.waiting) - opening, self.max_streams - conn.in_flight)
         return [self._assign(now, number, self.waiting.popleft()[0]) for _ in range(room)]
 
-    def _slot_released(self, now: float, number: int) -> list[messages.Action]:
+    def _slot_released(self, now: float, number: int, answer: SetupAnswer) -> list[messages.Action]:
         conn = self.connections.get(number)
         if conn is None:
             return []
-        conn.setup_ended()
+        conn.setup_ended(answer)
         if self.waiting and conn.is_usable and conn.in_flight < self.max_streams:
             return [self._assign(now, number, self.waiting.popleft()[0])]
         return []
--- a/tests/test_platform_struck_connections.py
+++ b/tests/test_platform_struck_connections.py
@@ -12,7 +12,10 @@
 from test_platform_sockets import name, run_scenario, scene
 
 from foxlift.platform import pool_messages, pooled_connection, server_pool
+from foxlift.platform.pooled_connection import SetupAnswer
 from foxlift.standins.platform import (
+    StandInBox,
+    finish_line,
     rtsp_answer,
     start_line,
 )
@@ -86,3 +89,89 @@
             assert answer is not None and (answer["verb"], answer["rc"]) == ("FINISH", 41)
 
     run_scenario(test)
+
+
+# ---- A set-up whose answer never comes ---------------------------------------------------------------------
+def test_a_connection_on_which_an_answer_is_missing_is_pinged_before_its_next_set_up() -> None:
+    """Nothing may get through on it any more, and the next set-up would be lost on it too."""
+    pool = pool_with_connections(2, sessions=2)
+    pool.handle(100, pool_messages.SetupQueued(8))
+    pool.handle(600, pool_messages.SlotReleased(2, SetupAnswer.OVERDUE))
+    assert pool.handle(601, pool_messages.SetupQueued(9)) == [pool_messages.UseConnection(1, 9)]
+    assert pool.latest_up == 1  # messages for which any connection will do go out on the other one
+    assert pool_messages.PingConnection(2) in pool.handle(700, pool_messages.Tick())
+    assert pool_messages.CloseConnection(2) in pool.handle(
+        700 + pooled_connection.PING_TIMEOUT_MS, pool_messages.Tick()
+    )
+
+
+def test_any_message_after_a_missing_answer_makes_the_connection_usable_again() -> None:
+    """A server that is slow only confirms the cancellation, or answers late: no ping is needed."""
+    pool = make_pool(1)
+    pool.handle(0, pool_messages.SetupQueued(1))
+    pool.handle(1, pool_messages.ConnectionOpened(1))
+    pool.handle(500, pool_messages.SlotReleased(1, SetupAnswer.OVERDUE))
+    assert pool.handle(501, pool_messages.SetupQueued(2)) == []
+    assert pool.handle(502, pool_messages.DataReceived(1)) == [pool_messages.UseConnection(1, 2)]
+    assert pool.handle(600, pool_messages.Tick()) == []
+
+
+def test_a_connection_on_which_a_set_up_was_cancelled_carries_others_and_is_pinged() -> None:
+    """Its answer was not due yet: that is no sign of a struck connection, and no proof of a sound one."""
+    pool = make_pool(1)
+    pool.handle(0, pool_messages.SetupQueued(1))
+    pool.handle(1, pool_messages.ConnectionOpened(1))
+    pool.handle(20, pool_messages.SlotReleased(1, SetupAnswer.CANCELLED))
+    assert pool.handle(21, pool_messages.SetupQueued(2)) == [pool_messages.UseConnection(1, 2)]
+    assert pool.handle(100, pool_messages.Tick()) == [pool_messages.PingConnection(1)]
+
+
+def strike_at(server: StandInBox, struck_tag: str) -> None:
+    """Let nothing of the server get through any more on the connection on which this set-up comes."""
+
+    def behave(tag: str, body: bytes, writer: asyncio.StreamWriter) -> bool:
+        if tag == struck_tag:
+            server.struck.add(writer)
+        return tag == struck_tag
+
+    server.behave = behave
+
+
+async def until_closed(server: StandInBox, connections: int) -> None:
+    """Wait until the director has closed so many connections to the server."""
+    while server.ended < connections:
+        await asyncio.sleep(0.01)
+
+
+def test_a_set_up_is_not_sent_behind_one_whose_answer_is_overdue(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path, servers=1) as world:
+            viewer = await world.viewer()
+            [server] = world.servers
+            strike_at(server, name(1))
+            viewer.send(start_line(name(1), "paid", opts={"left": "300"}))
+            answer = await viewer.answer(name(1))
+            assert answer is not None and (answer["verb"], answer["rc"]) == ("FINISH", 41)
+            viewer.send(start_line(name(2), "paid"))
+            answer = await viewer.answer(name(2))
+            assert answer is not None and answer["verb"] == "STARTED"
+            await until_closed(server, 1)
+            assert (1, 1) not in world.director.servers.connections  # the struck one, and no other
+
+    run_scenario(test)
+
+
+def test_a_struck_connection_is_closed_though_its_viewer_left_before_the_answer_was_due(
+    tmp_path: Path,
+) -> None:
+    async def test() -> None:
+        async with scene(tmp_path, servers=1) as world:
+            viewer = await world.viewer()
+            [server] = world.servers
+            strike_at(server, name(1))
+            viewer.send(start_line(name(1), "paid"))
+            await server.until(lambda: "SETUP" in server.methods(name(1)))
+            viewer.send(finish_line(name(1)))
+            await until_closed(server, 1)
+
+    run_scenario(test)
