A connection lost while sessions play is replaced though others are up

Failed before: seven of test_platform_struck_connections.py, among them the release after a reset, after an answer that stops short and after one that never comes.

--- a/foxlift/platform/server_pool.py
+++ b/foxlift/platform/server_pool.py
@@ -10,7 +10,7 @@
     UP          a set-up ends unanswered        UP       ping, unless a message comes before
     UP          a set-up's answer is overdue    UP       the same, and no new set-ups until a message comes
     UP          a message begun and not ended   (none)   close, as above
-    UP          ConnectionLost                  (none)   open another if sessions play there
+    UP          ConnectionLost                  (none)   open another if sessions play: `replacement`
     UP          idle for long                   (none)   retire, before the server closes it during a set-up
     any         ConnectRequested, none open     OPENING  open one, repeat until one is up
     OPENING     ServerRemoved                   (none)   close: another server may answer there
@@ -32,6 +32,7 @@
 
 from foxlift.platform import pool_messages as messages
 from foxlift.platform.pooled_connection import PooledConnection, SetupAnswer
+from foxlift.platform.replacement import Replacement
 
 # sessions are lost after this silence; viewers must be notified within 8 s of an end
 SILENCE_TIMEOUT_MS = 5000.0
@@ -59,6 +60,7 @@
     last_open_at: float = 0.0
     connect_requested: bool = False  # a message other than a set-up waits for a connection
     open_attempts: int = 0  # consecutive attempts to open a connection
+    replacement: Replacement = field(default_factory=Replacement)
     _last_conn: int = 0
 
     def handle(self, now: float, event: messages.Event) -> list[messages.Action]:
@@ -156,6 +158,7 @@
             return [messages.CloseConnection(number)]
         conn.up, conn.last_received_at, conn.last_used_at = True, now, now
         self.connect_requested = False
+        self.replacement.connection_opened(conn.opened_at)
         lost: list[messages.Action] = []
         if self.sessions and now - self.last_received_at >= SILENCE_TIMEOUT_MS - LATE_OPEN_MARGIN_MS:
             # a lost zone is back: the process that answers may be a new one, without the sessions of the old
@@ -217,6 +220,8 @@
         if conn is None:
             return []
         actions: list[messages.Action] = []
+        if conn.up and self.sessions:
+            self.replacement.connection_lost(now)
         if refused and self.connect_requested and not any(c.up for c in self.connections.values()):
             self.connect_requested = False
             actions.append(messages.DiscardUnsent())
@@ -273,6 +278,8 @@
     def _sessions_changed(self, now: float, count: int) -> list[messages.Action]:
         is_first = count and not self.sessions
         self.sessions = count
+        if not count:
+            self.replacement.no_longer_needed()
         if is_first:
             # the silence starts now: no message was expected before
             self.last_received_at = now
@@ -305,6 +312,7 @@
                 return [*actions, messages.SessionsLost(messages.SILENT)]
             if self.is_removed and not self.connections:
                 return [*actions, messages.SessionsLost("gone")]
+            actions += self._replace_lost(now)
         elif self.connect_requested:  # no session depends on it: back off
             wait = min(REOPEN_INTERVAL_MS * 2**self.open_attempts, MAX_REOPEN_INTERVAL_MS)
         if (
@@ -315,3 +323,25 @@
             self.open_attempts += 1
             actions.append(self._open(now))
         return actions
+
+    def _replace_lost(self, now: float) -> list[messages.Action]:
+        """Open a connection beside the others if one was lost, on which a release may have been sent."""
+        if self.is_removed or not self.connections or not self.replacement.is_due(now):
+            return []
+        lost_at = self.replacement.lost_at
+        if any(not conn.up and conn.opened_at >= lost_at for conn in self.connections.values()):
+            return []
+        actions: list[messages.Action] = []
+        if len(self.connections) >= self.max_connections:
+            idle = [
+                (conn.last_used_at, number)
+                for number, conn in self.connections.items()
+                if conn.up and not conn.in_flight
+            ]
+            if not idle:
+                return []
+            longest_idle = min(idle)[1]
+            del self.connections[longest_idle]
+            actions.append(messages.RetireConnection(longest_idle))
+        self.replacement.attempted(now)
+        return [*actions, self._open(now)]
--- a/tests/test_platform_descriptors.py
+++ b/tests/test_platform_descriptors.py
@@ -18,7 +18,7 @@
 from ports import free_address
 from test_platform_sockets import Scene, client_connections, name, run_scenario, scene, unsent
 
-from foxlift.platform import pool_messages, server_pool
+from foxlift.platform import pool_messages, rtsp, server_pool
 from foxlift.platform.admission import MAX_OVERSHOOT
 from foxlift.platform.descriptors import MAX_CLOSING, OWN_DESCRIPTORS, SERVER_MARGIN, share_out
 from foxlift.platform.eviction import (
@@ -278,3 +278,19 @@
     closing.discard(made[2])
     closing.add(Connection(99))
     assert cut == [0, 1]
+
+
+def test_a_release_written_before_its_connection_is_closed_for_another_server_arrives(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path, servers=1) as world:
+            director, [server] = world.director, world.servers
+            viewer = await world.viewer()
+            viewer.send(start_line(name(1)))
+            started = await viewer.answer(name(1))
+            assert started is not None and started["verb"] == "STARTED"
+            [(node, number)] = director.servers.connections
+            director.servers.send(node, number, rtsp.release(name(1), 31), False)
+            director.servers.handle(node, pool_messages.ConnectionYielded(number))
+            await server.until(lambda: "TEARDOWN" in server.methods(name(1)))
+
+    run_scenario(test)
--- a/tests/test_platform_struck_connections.py
+++ b/tests/test_platform_struck_connections.py
@@ -6,8 +6,10 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from pathlib import Path
 
+import pytest
 from test_platform_lines import make_pool
 from test_platform_sockets import name, run_scenario, scene
 
@@ -15,8 +17,10 @@
 from foxlift.platform.pooled_connection import SetupAnswer
 from foxlift.standins.platform import (
     StandInBox,
+    Viewer,
     finish_line,
     rtsp_answer,
+    rtsp_request,
     start_line,
 )
 
@@ -175,3 +179,137 @@
             await until_closed(server, 1)
 
     run_scenario(test)
+
+
+# ---- Releases lost with a connection -----------------------------------------------------------------------
+def opened(actions: list[pool_messages.Action]) -> list[int]:
+    return [action.conn for action in actions if isinstance(action, pool_messages.OpenConnection)]
+
+
+def test_a_connection_is_opened_in_place_of_a_lost_one_though_others_are_up() -> None:
+    """A release sent on the lost one is sent again on the next that is opened, and on no other."""
+    pool = pool_with_connections(3, sessions=3)
+    assert pool.handle(100, pool_messages.ConnectionLost(2)) == []
+    assert opened(pool.handle(150, pool_messages.Tick())) == [4]
+    assert pool.handle(151, pool_messages.ConnectionOpened(4)) == [pool_messages.PingConnection(4)]
+    assert opened(pool.handle(700, pool_messages.Tick())) == []
+
+
+def test_a_connection_whose_opening_began_before_the_loss_replaces_nothing() -> None:
+    """The server may have accepted it before it sent the release that was lost."""
+    pool = pool_with_connections(2, sessions=2)
+    pool.handle(2, pool_messages.SetupQueued(7))
+    pool.handle(2, pool_messages.SetupQueued(8))
+    pool.handle(3, pool_messages.SetupQueued(9))
+    assert not pool.connections[3].up
+    pool.handle(10, pool_messages.ConnectionLost(1))
+    pool.handle(11, pool_messages.ConnectionOpened(3))
+    assert opened(pool.handle(100, pool_messages.Tick())) == [4]
+
+
+def test_a_connection_opened_for_a_set_up_after_the_loss_replaces_the_lost_one() -> None:
+    pool = pool_with_connections(2, sessions=2)
+    pool.handle(100, pool_messages.SetupQueued(7))
+    pool.handle(100, pool_messages.ConnectionLost(1))
+    assert pool.handle(110, pool_messages.SetupQueued(8)) == [pool_messages.OpenConnection(3, 250.0)]
+    assert opened(pool.handle(120, pool_messages.Tick())) == []  # it is being opened
+    pool.handle(121, pool_messages.ConnectionOpened(3))
+    assert opened(pool.handle(220, pool_messages.Tick())) == []
+
+
+def test_a_server_that_closes_each_new_connection_is_not_flooded_with_more() -> None:
+    pool = pool_with_connections(2, sessions=2)
+    pool.handle(100, pool_messages.ConnectionLost(2))
+    attempts = []
+    for now in range(100, 20_000, 100):
+        pool.handle(now, pool_messages.DataReceived(1))
+        for conn in opened(pool.handle(now, pool_messages.Tick())):
+            attempts.append(now)
+            pool.handle(now, pool_messages.ConnectionOpened(conn))
+            pool.handle(now, pool_messages.ConnectionLost(conn))
+    within_release_time = [now for now in attempts if now <= 8000]
+    assert len(within_release_time) >= 4  # a connection that does not come up is tried again in time
+    assert len(attempts) <= 10
+
+
+def test_no_connection_is_opened_in_place_of_a_lost_one_without_need() -> None:
+    """None for a server without sessions, for one that was removed, or after a retirement."""
+    idle = pool_with_connections(3, sessions=0)
+    idle.handle(100, pool_messages.ConnectionLost(2))
+    ended = pool_with_connections(3, sessions=1)
+    ended.handle(100, pool_messages.ConnectionLost(2))
+    ended.handle(110, pool_messages.SessionsChanged(0))
+    removed = pool_with_connections(3, sessions=1)
+    removed.handle(90, pool_messages.ServerRemoved())
+    removed.handle(100, pool_messages.ConnectionLost(2))
+    for pool in (idle, ended, removed):
+        assert opened(pool.handle(150, pool_messages.Tick())) == []
+
+
+def test_a_lost_connection_is_replaced_where_no_more_may_be_opened() -> None:
+    """The maximum falls as more servers are listed; an idle connection makes room."""
+    pool = pool_with_connections(3, sessions=3)
+    pool.max_connections = 1
+    pool.handle(100, pool_messages.ConnectionLost(2))
+    actions = pool.handle(150, pool_messages.Tick())
+    assert [type(action) for action in actions] == [
+        pool_messages.RetireConnection,
+        pool_messages.OpenConnection,
+    ]
+
+
+async def three_sessions_on_three_connections(server: StandInBox, viewer: Viewer) -> None:
+    """Set up sessions 1 to 3 at the same time, so that each has a connection of its own."""
+    waiting: list[tuple[str, bytes, asyncio.StreamWriter]] = []
+
+    def behave(tag: str, body: bytes, writer: asyncio.StreamWriter) -> bool:
+        waiting.append((tag, body, writer))
+        return True
+
+    server.behave = behave
+    for number in (1, 2, 3):
+        viewer.send(start_line(name(number)))
+    await server.until(lambda: len(waiting) == 3)
+    for tag, body, writer in waiting:
+        writer.write(rtsp_answer(200, tag, b"box\r\n" + body))
+        answer = await viewer.answer(tag)
+        assert answer is not None and answer["verb"] == "STARTED"
+    assert len(server.writers) == 3
+    server.behave = None
+
+
+@pytest.mark.parametrize(
+    "spoiled_by", ["an answer that stops short", "an answer that never comes", "a reset"]
+)
+def test_a_release_sent_on_a_connection_of_no_use_reaches_its_viewer_in_time(
+    tmp_path: Path, spoiled_by: str
+) -> None:
+    """The server sends it on the connection of the set-up, and again on the next that the director opens."""
+
+    async def test() -> None:
+        async with scene(tmp_path, servers=1) as world:
+            viewer = await world.viewer()
+            [server] = world.servers
+            await three_sessions_on_three_connections(server, viewer)
+
+            def spoil(tag: str, body: bytes, writer: asyncio.StreamWriter) -> bool:
+                if spoiled_by == "an answer that stops short":
+                    writer.write(rtsp_answer(200, tag, body)[:-5])
+                server.struck.add(writer)
+                return True
+
+            if spoiled_by == "a reset":
+                server.writers[0].transport.abort()
+            else:
+                server.behave = spoil
+                viewer.send(start_line(name(4), "paid", opts={"left": "300"}))
+                await server.until(lambda: bool(server.struck))
+            # the release is lost here; other connections stay up, and traffic goes on there
+            await server.until(lambda: len(server.writers) == 4)
+            server.writers[3].write(rtsp_request("TEARDOWN", name(1), "Reason: cause=16\r\n"))
+            over = await asyncio.wait_for(viewer.answer(name(1)), 2)
+            assert over is not None and (over["verb"], over["rc"]) == ("FINISH", 16)
+
+    began = time.monotonic()
+    run_scenario(test)
+    assert time.monotonic() - began < VIEWERS_HEAR_WITHIN_S
