Releases go to viewers that come back after a reset once one ends a session

Cause: a connection counted as one from viewers only if a session was requested or started on it. The end of a session that plays shows viewers too; what is owed goes there at once, in order, once. Beside it, of 500 releases written into a reset 244 would have been lost, since the oldest beyond 256 were dropped at once: only those written over 1 s ago are now.

--- a/foxlift/platform/core.py
+++ b/foxlift/platform/core.py
@@ -349,6 +349,7 @@
         elif session.state is _State.PLAYING:
             self.counts["ended by viewer"] += 1
             self._end_playing(session, cause)
+            self._send_releases(self.viewer_releases.session_ended_by_viewer(self._now, conn))
         else:
             self.counts["given up"] += 1
             self._withdraw(session)
--- a/foxlift/platform/viewer_releases.py
+++ b/foxlift/platform/viewer_releases.py
@@ -6,13 +6,14 @@
     (none)      add, no connection in use         UNSENT    kept
     SENT        confirmed                         (none)
     SENT        its connection closes             as add    sent again elsewhere, as it may be lost
-    SENT        MAX_UNCONFIRMED on a connection   (none)    the oldest is dropped
+    SENT        MAX_UNCONFIRMED on a connection   (none)    the oldest is dropped if it has surely arrived
     UNSENT      a connection comes into use       SENT      written there
     UNSENT      MAX_UNSENT exceeded               (none)    the oldest is dropped
     both        RETENTION_MS since the end        (none)    the viewer has counted the session as lost
 
 The other connection is the one on which a session started last, else the one on which a session was requested
-last. A connection without either may not belong to a viewer.
+last, or ended by its viewer. A connection without any of these may not belong to viewers: the front tests a
+director on connections, too, and anybody can end an unknown session.
 """
 
 from __future__ import annotations
@@ -20,10 +21,12 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from itertools import islice
 
 RETENTION_MS = 8000.0  # viewers must be notified within 8 s of an end
 MAX_UNSENT = 4096  # releases kept while no connection is in use
-MAX_UNCONFIRMED = 256  # per connection; where a viewer confirms nothing, the oldest arrived long ago
+MAX_UNCONFIRMED = 256  # per connection, of those written more than DELIVERY_MS ago
+DELIVERY_MS = 1000.0  # after which a release on an open connection has arrived, confirmed or not
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +37,13 @@
     data: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class _Sent:
+    ended_at: float  # the session
+    written_at: float
+    data: bytes
+
+
 @dataclass(slots=True)
 class ViewerReleases:
     """Unconfirmed releases and the connections that may carry them."""
@@ -42,9 +52,9 @@
     expired: int = 0  # number of releases dropped after RETENTION_MS or beyond MAX_UNSENT
     # connections on which a session started, least recent first
     _serving: dict[int, None] = field(default_factory=dict)
-    _requesting: dict[int, None] = field(default_factory=dict)  # connections on which one was requested
-    # by connection and tag, in order of writing: time of the end, the release
-    _sent: dict[tuple[int, str], tuple[float, bytes]] = field(default_factory=dict)
+    # connections on which one was requested, or ended by its viewer
+    _requesting: dict[int, None] = field(default_factory=dict)
+    _sent: dict[tuple[int, str], _Sent] = field(default_factory=dict)  # by connection and tag, as written
     _sent_on: dict[int, dict[str, None]] = field(default_factory=dict)  # the same tags by connection
     _unsent: deque[tuple[float, str, bytes]] = field(default_factory=deque)
 
@@ -58,6 +68,12 @@
         self._expire(now)
         return self._send_unsent(now)
 
+    def session_ended_by_viewer(self, now: float, conn: int) -> list[Write]:
+        """A session that plays was ended on the connection: return the releases to write now."""
+        if conn in self._serving or conn in self._requesting:
+            return []
+        return self.session_requested(now, conn)
+
     def session_started(self, now: float, conn: int) -> list[Write]:
         """A session of the connection started: return the releases to write now."""
         self._serving.pop(conn, None)
@@ -65,30 +81,40 @@
         self._expire(now)
         return self._send_unsent(now)
 
-    def add(self, since: float, conn: int, tag: str, data: bytes) -> list[Write]:
-        """Add the release of a session that ended at `since`; `conn`: the connection it was requested on."""
+    def add(self, now: float, conn: int, tag: str, data: bytes) -> list[Write]:
+        """Add the release of a session that ended now; `conn`: the connection it was requested on."""
+        return self._add(now, now, conn, tag, data)
+
+    def _add(self, now: float, ended_at: float, conn: int, tag: str, data: bytes) -> list[Write]:
         if conn not in self._serving and conn not in self._requesting:
             other = next(reversed(self._serving), None) or next(reversed(self._requesting), None)
             if other is None:
-                self._unsent.append((since, tag, data))
+                self._unsent.append((ended_at, tag, data))
                 if len(self._unsent) > MAX_UNSENT:
                     self._unsent.popleft()
                     self.expired += 1
                 return []
             conn = other
-        self._expire(since)
-        self._sent[conn, tag] = since, data
+        self._expire(now)
+        self._sent[conn, tag] = _Sent(ended_at, now, data)
         tags = self._sent_on.setdefault(conn, {})
         tags[tag] = None
-        if len(tags) > MAX_UNCONFIRMED:
-            self.confirmed(conn, next(iter(tags)))
+        self._drop_delivered(now, conn, tags)
         return [Write(conn, data)]
 
+    def _drop_delivered(self, now: float, conn: int, tags: dict[str, None]) -> None:
+        """Drop the oldest of a connection beyond MAX_UNCONFIRMED: not every viewer confirms."""
+        excess = len(tags) - MAX_UNCONFIRMED
+        for tag in list(islice(tags, max(excess, 0))):
+            if now - self._sent[conn, tag].written_at <= DELIVERY_MS and len(tags) <= MAX_UNSENT:
+                return
+            self.confirmed(conn, tag)
+
     def _expire(self, now: float) -> None:
         """Drop releases past RETENTION_MS: not every viewer confirms."""
         while self._sent:
             conn, tag = next(iter(self._sent))
-            if now - self._sent[conn, tag][0] <= RETENTION_MS:
+            if now - self._sent[conn, tag].ended_at <= RETENTION_MS:
                 return
             self.confirmed(conn, tag)
             self.expired += 1
@@ -106,9 +132,9 @@
         self._serving.pop(conn, None)
         self._requesting.pop(conn, None)
         self._expire(now)
-        sent = [(tag, *self._sent.pop((conn, tag))) for tag in self._sent_on.pop(conn, ())]
+        sent = [(tag, self._sent.pop((conn, tag))) for tag in self._sent_on.pop(conn, ())]
         self.resent += len(sent)
-        return self._resend(now, [(since, tag, data) for tag, since, data in sent])
+        return self._resend(now, [(each.ended_at, tag, each.data) for tag, each in sent])
 
     def _send_unsent(self, now: float) -> list[Write]:
         unsent, self._unsent = self._unsent, deque()
@@ -120,5 +146,5 @@
             if now - since > RETENTION_MS:
                 self.expired += 1
             else:
-                writes += self.add(since, 0, tag, data)
+                writes += self._add(now, since, 0, tag, data)
         return writes
--- a/tests/test_platform_lines.py
+++ b/tests/test_platform_lines.py
@@ -602,8 +602,16 @@
     releases.session_requested(0, 2)
     for k in range(3 * viewer_releases.MAX_UNCONFIRMED):
         releases.add(0, 2, str(k), b"")
+    # those just written may still be lost with the connection, unlike the ones that have surely arrived
+    assert len(releases) == 3 * viewer_releases.MAX_UNCONFIRMED
+    releases.add(viewer_releases.DELIVERY_MS + 1, 2, "last", b"")
     assert len(releases) == viewer_releases.MAX_UNCONFIRMED
     releases = ViewerReleases()
+    releases.session_requested(0, 2)
+    for k in range(2 * viewer_releases.MAX_UNSENT):
+        releases.add(0, 2, str(k), b"")
+    assert len(releases) <= viewer_releases.MAX_UNSENT
+    releases = ViewerReleases()
     for k in range(2 * viewer_releases.MAX_UNSENT):
         releases.add(0, 1, str(k), b"")
     assert len(releases) == viewer_releases.MAX_UNSENT
