A slow coordinator is heard: longer waits for a call's first byte, up to 6 s

Cause: a call without a whole frame was closed after 1.8 s and made again, each with the same time, and a list longer than that was given up in the middle. The time for the first byte doubles with each call without one, up to 6 s, and falls back with the first frame; a part of a frame counts as heard, a frame may take 30 s. Once a byte has come, 1.8 s of silence end a call as before.

--- a/foxlift/platform/discovery_connection.py
+++ b/foxlift/platform/discovery_connection.py
@@ -54,6 +54,8 @@
             return
         if frames:
             self._owner.handle(discovery_watch.FramesReceived(tuple(frames)))
+        else:
+            self._owner.handle(discovery_watch.BytesReceived())
 
     def connection_lost(self, error: Exception | None) -> None:
         """Handle the closed connection."""
--- a/foxlift/platform/discovery_watch.py
+++ b/foxlift/platform/discovery_watch.py
@@ -5,7 +5,8 @@
     OPENING  ConnectionOpened                 OPEN     request updates after the last one received
     OPEN     frames with new updates          OPEN     deliver each update once, in order
     OPEN     gap or invalid frame             WAITING  close, request again from the last update received
-    OPEN     nothing for SILENCE_TIMEOUT_MS   WAITING  close, reconnect
+    OPEN     no byte for SILENCE_TIMEOUT_MS   WAITING  close, reconnect
+    OPEN     a frame takes MAX_FRAME_MS       WAITING  close, reconnect
     OPENING  not up in CONNECT_TIMEOUT_MS     WAITING  close, reconnect
     any      ConnectionClosed                 WAITING  reconnect after a wait that doubles with each failure
     any      AddressChanged                   OPENING  close, connect to the new address at once
@@ -14,6 +15,9 @@
 The platform assumes that a director knows of a drain even while its watch is down, so waits are short: the
 first is 20 ms, the longest half a second, each with jitter from the director's own random source so that a
 fleet does not reconnect at the same moment.
+
+The first byte after a request may take longer, as a slow or crowded coordinator would otherwise never be
+heard: each call without a byte doubles the time, up to MAX_REPLY_TIMEOUT_MS, until one has brought a frame.
 """
 
 from __future__ import annotations
@@ -27,6 +31,8 @@
 from foxlift.platform.settings import Address, ListedServer, ListUpdate
 
 SILENCE_TIMEOUT_MS = 1800.0  # an empty frame is sent each second
+MAX_REPLY_TIMEOUT_MS = 6000.0  # for the first byte after a request, once earlier calls have brought none
+MAX_FRAME_MS = 30_000.0  # for one frame, from its first byte on
 CONNECT_TIMEOUT_MS = 700.0  # time for a connection to come up
 FIRST_BACKOFF_MS = 20.0
 MAX_BACKOFF_MS = 500.0
@@ -111,6 +117,11 @@
     frames: tuple[Frame, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class BytesReceived:
+    """A part of a frame was received."""
+
+
 @dataclass(frozen=True, slots=True)
 class ConnectionClosed:
     """The connection was lost or could not be made."""
@@ -123,7 +134,7 @@
     address: Address
 
 
-Event = TimerExpired | ConnectionOpened | FramesReceived | ConnectionClosed | AddressChanged
+Event = TimerExpired | ConnectionOpened | FramesReceived | BytesReceived | ConnectionClosed | AddressChanged
 
 
 # ---- Actions ----------------------------------------------------------------------------------------------
@@ -183,6 +194,9 @@
         self._failures = 0
         self._misreads = 0  # consecutive gaps and invalid frames
         self._last_received_at = 0.0
+        self._heard = False  # whether a byte was received on the present connection
+        self._unheard_calls = 0  # consecutive calls without a byte
+        self._frame_began_at = 0.0  # 0: no frame is incomplete
 
     def handle(self, now: float, event: Event) -> list[Action]:
         """Handle one event and return the actions; `now` in ms."""
@@ -193,17 +207,20 @@
                 if self._state is not _State.OPENING:
                     return []
                 self._state, self._last_received_at = _State.OPEN, now
+                self._heard, self._frame_began_at = False, 0.0
                 full = self._misreads >= MAX_MISREADS
                 request = RequestUpdates((0 if full else self.number).to_bytes(8, "big"))
-                return [request, self._start_timer(SILENCE_TIMEOUT_MS)]
+                return [request, self._start_timer(self._silence_timeout_ms)]
             case FramesReceived(frames):
                 return self._frames_received(now, frames) if self._state is _State.OPEN else []
+            case BytesReceived():
+                return self._bytes_received(now) if self._state is _State.OPEN else []
             case ConnectionClosed():
                 return [] if self._state is _State.WAITING else self._retry(close=False)
             case AddressChanged(address):
                 if address == self.address and self._state is not _State.WAITING:
                     return []
-                self.address, self._failures = address, 0
+                self.address, self._failures, self._unheard_calls = address, 0, 0
                 return [CloseConnection(), *self._connect()]
 
     def start(self) -> list[Action]:
@@ -228,8 +245,34 @@
             case _State.OPENING:
                 return self._retry(close=True)
             case _State.OPEN:
-                left = self._last_received_at + SILENCE_TIMEOUT_MS - now
-                return [self._start_timer(left)] if left > 0 else self._retry(close=True)
+                left = self._time_left_ms(now)
+                if left > 0:
+                    return [self._start_timer(left)]
+                self._unheard_calls += not self._heard
+                return self._retry(close=True)
+
+    @property
+    def _silence_timeout_ms(self) -> float:
+        """How long the present connection may be silent."""
+        if self._heard:
+            return SILENCE_TIMEOUT_MS
+        return min(SILENCE_TIMEOUT_MS * 2.0**self._unheard_calls, MAX_REPLY_TIMEOUT_MS)
+
+    def _time_left_ms(self, now: float) -> float:
+        """Until the present connection has been silent, or one frame has been arriving, for too long."""
+        silence_left = self._last_received_at + self._silence_timeout_ms - now
+        if not self._frame_began_at:
+            return silence_left
+        return min(silence_left, self._frame_began_at + MAX_FRAME_MS - now)
+
+    def _bytes_received(self, now: float) -> list[Action]:
+        self._frame_began_at = self._frame_began_at or now
+        return self._note_received(now)
+
+    def _note_received(self, now: float) -> list[Action]:
+        """Record received bytes. The first ones end the longer time that a slow coordinator has for them."""
+        is_first, self._heard, self._last_received_at = not self._heard, True, now
+        return [self._start_timer(SILENCE_TIMEOUT_MS)] if is_first and self._unheard_calls else []
 
     def _retry(self, close: bool) -> list[Action]:
         self._state = _State.WAITING
@@ -238,8 +281,8 @@
         return [*([CloseConnection()] if close else []), self._start_timer(wait)]
 
     def _frames_received(self, now: float, frames: tuple[Frame, ...]) -> list[Action]:
-        self._last_received_at = now
-        actions: list[Action] = []
+        actions = self._note_received(now)
+        self._frame_began_at, self._unheard_calls = 0.0, 0
         for frame in frames:
             if frame.update is None:
                 self._failures = 0
