Events after a list that is read again are not passed over

Seen by reading (review, "read without a test"): after three unreadable frames the whole list of event 1 stood, without the servers, drains and removals told since, as the events that follow had numbers not above the last one held.

list_rebuild.py collects the events from the whole list on and delivers one whole list when the number held before is reached, or when empty frames tell that there is no more; numbers that have stepped back are taken over, and an old state is never applied.

--- a/foxlift/platform/discovery_watch.py
+++ b/foxlift/platform/discovery_watch.py
@@ -4,7 +4,8 @@
     (none)   start                            OPENING  connect
     OPENING  ConnectionOpened                 OPEN     request updates after the last one received
     OPEN     frames with new updates          OPEN     deliver each update once, in order
-    OPEN     gap or invalid frame             WAITING  close, request again from the last update received
+    OPEN     gap or invalid frame             WAITING  close, request again from the last update received;
+                                                       after MAX_MISREADS the whole list: `list_rebuild`
     OPEN     no byte for SILENCE_TIMEOUT_MS   WAITING  close, reconnect
     OPEN     a frame takes MAX_FRAME_MS       WAITING  close, reconnect
     OPENING  not up in CONNECT_TIMEOUT_MS     WAITING  close, reconnect
@@ -28,6 +29,7 @@
 from random import Random
 
 from foxlift import interface as fl
+from foxlift.platform.list_rebuild import ListRebuild
 from foxlift.platform.settings import Address, ListedServer, ListUpdate
 
 SILENCE_TIMEOUT_MS = 1800.0  # an empty frame is sent each second
@@ -193,6 +195,7 @@
         self._timer_id = 0  # of the current timer; earlier timers are ignored
         self._failures = 0
         self._misreads = 0  # consecutive gaps and invalid frames
+        self._rebuild: ListRebuild | None = None  # the whole list, while it is read again
         self._last_received_at = 0.0
         self._heard = False  # whether a byte was received on the present connection
         self._unheard_calls = 0  # consecutive calls without a byte
@@ -207,7 +210,7 @@
                 if self._state is not _State.OPENING:
                     return []
                 self._state, self._last_received_at = _State.OPEN, now
-                self._heard, self._frame_began_at = False, 0.0
+                self._heard, self._frame_began_at, self._rebuild = False, 0.0, None
                 full = self._misreads >= MAX_MISREADS
                 request = RequestUpdates((0 if full else self.number).to_bytes(8, "big"))
                 return [request, self._start_timer(self._silence_timeout_ms)]
@@ -284,19 +287,51 @@
         actions = self._note_received(now)
         self._frame_began_at, self._unheard_calls = 0.0, 0
         for frame in frames:
-            if frame.update is None:
-                self._failures = 0
-                continue
-            full = frame.update.full
-            if frame.number <= self.number and not (full and self._misreads >= MAX_MISREADS):
-                continue  # already received, or an old list
-            if not full and frame.number != self.number + 1:
-                self.gaps += 1
-                return [*actions, *self.resynchronize()]
-            self.number, self._misreads, self._failures = max(frame.number, self.number), 0, 0
-            actions.append(DeliverUpdate(frame.update))
+            actions += self._frame_received(frame)
+            if self._state is not _State.OPEN:
+                break  # a gap: what follows is requested again
         return actions
 
+    def _frame_received(self, frame: Frame) -> list[Action]:
+        update = frame.update
+        if self._rebuild is not None:
+            return self._rebuild_with(self._rebuild, frame)
+        if update is None:
+            self._failures = 0
+            return []
+        if update.full and self._misreads >= MAX_MISREADS:
+            self._rebuild = ListRebuild.begin(update, self.number)
+            return self._deliver_rebuilt(self._rebuild)
+        if update.number <= self.number:
+            return []  # already received, or an old list
+        if not update.full and update.number != self.number + 1:
+            return self._gap()
+        return self._deliver(update)
+
+    def _rebuild_with(self, rebuild: ListRebuild, frame: Frame) -> list[Action]:
+        update = frame.update
+        if update is None:
+            rebuild.empty_frame(frame.number)
+        elif update.full or update.number == rebuild.number + 1:
+            rebuild.add(update)
+        elif update.number > rebuild.number:
+            return self._gap()
+        return self._deliver_rebuilt(rebuild)
+
+    def _deliver_rebuilt(self, rebuild: ListRebuild) -> list[Action]:
+        if not rebuild.is_complete:
+            return []
+        self._rebuild = None
+        return self._deliver(rebuild.result())
+
+    def _deliver(self, update: ListUpdate) -> list[Action]:
+        self.number, self._misreads, self._failures = update.number, 0, 0
+        return [DeliverUpdate(update)]
+
+    def _gap(self) -> list[Action]:
+        self.gaps += 1
+        return self.resynchronize()
+
     def resynchronize(self) -> list[Action]:
         """Reconnect after an invalid frame or a gap."""
         if self._state is not _State.OPEN:
