A session handed over before its list takes its title's seat at once

Seen (review, "shown by a probe"): with one seat for a title a set-up went out 0.6 s after a session had been handed over with `at` at a media server that the list did not name yet, so two sessions held one seat.

Cause: such a handover waits in the core until the list names its server, and the module heard of it only then. SeatHeld tells the module of the seat at once, and that it is free when the session is resumed, is over, or was not listed in time.

Failed before: test_a_session_handed_over_before_its_list_takes_its_seat (a SETUP went out).

--- a/foxlift/interface.py
+++ b/foxlift/interface.py
@@ -198,6 +198,18 @@
     node: int
 
 
+@dataclass(frozen=True, slots=True)
+class SeatHeld:
+    """A session was handed over that plays on a node which is not listed yet: it takes a seat of its title.
+
+    The same with `held` False ends that: Resumed follows, or the session is over.
+    """
+
+    title: int
+    klass: int
+    held: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Started:
     """A set-up is done and the session plays."""
@@ -265,7 +277,7 @@
     shares: tuple[float, ...] = ()
 
 
-Event = NodeList | Ask | Resumed | Started | Ended | Note | Withdrawn | Wake | Probed | ZoneShares
+Event = NodeList | Ask | Resumed | SeatHeld | Started | Ended | Note | Withdrawn | Wake | Probed | ZoneShares
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -189,6 +189,7 @@
             fl.Ended: self._ended,
             fl.Note: self._note,
             fl.Resumed: self._resumed,
+            fl.SeatHeld: lambda event: self._count_seats(event.title, event.klass, 1 if event.held else -1),
             fl.Withdrawn: self._withdrawn,
             fl.Wake: self._recheck_held,
             fl.Probed: lambda event: self._load_reported(self.nodes.get(event.node), event.load),
@@ -883,7 +884,10 @@
         return seats <= 0 or self.seats.get((ask.title, ask.klass), 0) < seats
 
     def _change_seats(self, ask: fl.Ask, more: int) -> None:
-        seat = (ask.title, ask.klass)
+        self._count_seats(ask.title, ask.klass, more)
+
+    def _count_seats(self, title: int, klass: int, more: int) -> None:
+        seat = (title, klass)
         self.seats[seat] = self.seats.get(seat, 0) + more
         if not self.seats[seat]:
             del self.seats[seat]
--- a/foxlift/platform/core.py
+++ b/foxlift/platform/core.py
@@ -191,6 +191,8 @@
                         self._send_release(node, 0, tag, rtsp.release(tag, INTERRUPTED))
             case ev.HandoverTimedOut(tag):
                 found = self._handovers.pop(tag, None)
+                if found is not None:
+                    self._notify_module(self._seat_of(found[1], held=False))
                 if found is not None and self.session_endings.find_end(now, tag, 0) is None:
                     self.counts["handover without a box"] += 1
                     self._release_viewer(found[0], tag, viewers.finish(tag, INTERRUPTED))
@@ -307,12 +309,16 @@
             again=start.again,
         )
 
+    def _seat_of(self, start: viewers.Start, held: bool) -> fl.SeatHeld:
+        return fl.SeatHeld(int(start.title, 16), self._classes[start.klass], held)
+
     def _hand_over(self, conn: int, start: viewers.Start, node: int) -> None:
         if node not in self._servers:
             if len(self._handovers) >= MAX_HANDOVERS:
                 self._release_viewer(conn, start.tag, viewers.finish(start.tag, INTERRUPTED))
                 return
             self._handovers[start.tag] = conn, start
+            self._notify_module(self._seat_of(start, held=True))
             self._actions.append(ev.StartTimer(HANDOVER_TIMEOUT_MS, ev.HandoverTimedOut(start.tag)))
             self._send_releases(self.viewer_releases.session_requested(self._now, conn))
             return
@@ -741,6 +747,7 @@
         for tag, (conn, start) in list(self._handovers.items()):
             if start.plays_at is not None and start.plays_at in self._servers:
                 del self._handovers[tag]
+                self._notify_module(self._seat_of(start, held=False))
                 self._hand_over(conn, start, start.plays_at)
 
     def _forget_address(self, node: int) -> None:
--- a/tests/test_platform_core.py
+++ b/tests/test_platform_core.py
@@ -464,6 +464,34 @@
     assert len(world.core.sessions) == 2
 
 
+ONE_SEAT: dict[str, Any] = {"family_info__licence_cap": [1, 1]}
+
+
+def test_a_session_handed_over_before_its_list_takes_its_seat() -> None:
+    """With one seat for the title, no set-up may go out while the session plays at an unlisted server."""
+    world = World(**ONE_SEAT)
+    world.receive_from_viewer(handover_line(name(1), 77))
+    world.receive_from_viewer(start_line(name(2)))
+    assert not world.connect_waiting()
+    info = fl.NodeInfo(77, 0, 0, 1, fl.Status.READY, 1.0, 0.0)
+    world.handle(ev.ListUpdated(ListUpdate(2, False, (ListedServer(info, Address("10.0.0.77", 5060)),))))
+    world.receive_from_viewer(start_line(name(3)))
+    assert not world.connect_waiting()  # nor when it is listed, as the session plays on
+    world.pass_time(1000)
+    world.receive_from_server(77, 5, rtsp_request("TEARDOWN", name(1), "Reason: cause=16\r\n"))
+    world.receive_from_viewer(start_line(name(4)))
+    assert len(world.connect_waiting()) == 1
+
+
+def test_the_seat_of_a_handover_whose_server_is_never_listed_is_free_again() -> None:
+    world = World(**ONE_SEAT)
+    world.receive_from_viewer(handover_line(name(1), 78))
+    world.pass_time(4000)
+    assert world.verbs(name(1)) == ["FINISH"] and not world.core.module.seats
+    world.receive_from_viewer(start_line(name(2)))
+    assert len(world.connect_waiting()) == 1
+
+
 def test_a_test_succeeds_only_after_a_full_list() -> None:
     world = World()
     echo = b'{"verb":"ECHO","tag":"%s","opts":{},"rc":0}\n' % name(1).encode()
