A link last reported full, with no session left there, is tried again

Seen (review, "shown by a probe"): links were noted as 1.3 for 12 s, the sessions there ended, and of 150 requests in the next 75 s, at idle media servers, 150 were refused.

Cause: the estimated use of a link holds its last report whatever its age, and reports come only with own sessions.

--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -98,6 +98,7 @@
     capacity_at: float = 0.0  # when `capacity_kb` was last set
     changed_kb: float = 0.0  # sum of the own changes since the last report
     nodes: list[_Node] = field(default_factory=list)  # that it serves
+    nodes_in_use: set[int] = field(default_factory=set)  # identities of those that have own sessions
 
     def record_change(self, now: float, kb: float) -> None:
         self.own_kb += kb
@@ -136,6 +137,18 @@
     delivered_at: float = -1e18
     sent_at: float = -1e18  # when this director last sent it a set-up
 
+    def add_session(self, session: _Session) -> None:
+        self.sessions[session.ask.session] = session
+        for pipe in (self.link, self.rack):
+            pipe.nodes_in_use.add(id(self))
+
+    def remove_session(self, number: int) -> None:
+        self.sessions.pop(number, None)
+        self.raisable.pop(number, None)
+        if not self.sessions:
+            for pipe in (self.link, self.rack):
+                pipe.nodes_in_use.discard(id(self))
+
 
 def _hash(*numbers: int) -> int:
     """A stable 64-bit hash of whole numbers (steps of splitmix64)."""
@@ -176,6 +189,7 @@
         self.playing = 0  # own playing sessions
         self.playing_kb = 0.0
         self.mean_use = UNREPORTED_USE  # of a link: mean of the latest reports on all links
+        self.mean_use_at = -math.inf  # when the latest of these arrived
         self.use_samples = 1
         self.recheck_scheduled = False  # whether a timer for the held requests runs
         self.retry_list_at = -math.inf if settings.list_by_ask else math.inf  # when to ask for the list again
@@ -223,6 +237,7 @@
         if pipe.nodes[0].link is pipe:
             self.use_samples = min(self.use_samples + 1, MAX_USE_SAMPLES)
             self.mean_use += (min(use, 1 / MIN_SHARE) - self.mean_use) / self.use_samples
+            self.mean_use_at = self.now
 
     def _note(self, note: fl.Note) -> None:
         session = self.sessions.get(note.session)
@@ -477,8 +492,62 @@
                     continue
             self._send(session, node, rung)
             return True
+        return self._place_on_trial(session, holders)
+
+    def _place_on_trial(self, session: _Session, holders: list[_Node]) -> bool:
+        """Set up at a link that may have room again, at the lowest rung: only then is it reported on.
+
+        Reports come with answers and with sessions that play. A link that was last reported full, and at
+        which no own session is left, would otherwise count as full for good.
+        """
+        for node in holders:
+            if self._may_have_room(node, session.ask) and self._has_trial_turn(node, session.ask):
+                self._send(session, node, self._class(session.ask).floor)
+                return True
         return False
 
+    def _may_have_room(self, node: _Node, ask: fl.Ask) -> bool:
+        """Whether only overdue reports say that the node has no room for the lowest rung."""
+        if node.sessions or self._is_cold(node):
+            return False
+        if max(node.link.short_until, node.rack.short_until) > self.now:
+            return False
+        floor = self._class(ask).floor
+        rate, target = self.rates_kb[ask.klass][floor], self.target_uses[ask.klass][floor]
+        return all(
+            rate <= (target - use) * capacity_kb or self._is_report_overdue(pipe)
+            for pipe, (use, capacity_kb) in zip((node.link, node.rack), self._uses(node), strict=False)
+        )
+
+    def _is_report_overdue(self, pipe: _Pipe) -> bool:
+        """Whether the estimated use rests on old reports only, and no own session is there to bring one."""
+        if pipe.nodes_in_use:
+            return False
+        return self.now - self._estimated_at(pipe) >= self.raise_delay_ms
+
+    def _estimated_at(self, pipe: _Pipe) -> float:
+        """Time of the latest report on which the estimated use of a link or an uplink rests.
+
+        The use of an unreported link is the mean over links, which is new as long as any link is reported on.
+        """
+        if pipe.reported_use is not None:
+            return pipe.use_at
+        node = pipe.nodes[0]
+        if node.link is pipe:
+            return self.mean_use_at
+        return max(self._estimated_at(node.link) for node in pipe.nodes)
+
+    def _has_trial_turn(self, node: _Node, ask: fl.Ask) -> bool:
+        """Whether this director may try the node now: all directors together keep to its cold budget."""
+        if self.settings.warm_up_ms <= 0:
+            return True
+        turn_ms = self._cold_turn_ms(node)
+        requests = self._fleet_requests(node, ask, turn_ms)
+        turns = min(max(math.ceil(requests / COLD_TURN_REQUESTS), 1), self.settings.directors)
+        if self.now - node.sent_at < turn_ms * turns:
+            return False
+        return self._is_turn(node, self.now, turn_ms, turns)
+
     def _send(self, session: _Session, node: _Node, rung: int) -> None:
         self.held.pop(session.ask.session, None)
         session.sent_at = self.now
@@ -491,7 +560,7 @@
         session.attempts += 1
         session.tried.append(node.info.node)
         session.state, session.node = _State.SETTING_UP, node
-        node.sessions[session.ask.session] = session
+        node.add_session(session)
         node.setting_up += 1
         node.sent_at = self.now
         self._change_seats(session.ask, 1)
@@ -631,8 +700,7 @@
             self._count_playing(session, node, -1)
             session.state = _State.HELD
         self._change_rate(session, 0.0)
-        node.sessions.pop(session.ask.session, None)
-        node.raisable.pop(session.ask.session, None)
+        node.remove_session(session.ask.session)
         session.node, session.state = None, _State.HELD
 
     def _withdrawn(self, event: fl.Withdrawn) -> None:
@@ -650,7 +718,7 @@
             return
         session = _Session(event.ask, self.now, self.now, _State.PLAYING, True, attempts=1, node=node)
         self.sessions[event.ask.session] = session
-        node.sessions[event.ask.session] = session
+        node.add_session(session)
         self._change_seats(event.ask, 1)
         self._count_playing(session, node, 1)
         self._assign_rung(session, self._class(event.ask).floor)
@@ -766,6 +834,7 @@
         node = self.nodes.pop(name, None)
         if node is not None:
             node.rack.nodes.remove(node)
+            node.rack.nodes_in_use.discard(id(node))
             self.cells[node.info.cell].remove(node)
 
     def _update_node(self, info: fl.NodeInfo, kind: fl.ListKind) -> None:
@@ -839,8 +908,7 @@
         stay within the budget whoever has the turn. If the node was warm after all, its room stays unused.
         """
         s = self.settings
-        slots = s.kind_slots[node.info.kind] if node.info.kind < len(s.kind_slots) else min(s.kind_slots)
-        turn_ms = s.warm_up_ms / (slots * s.cold_from * s.cold_multiple * COLD_BUDGET_FRACTION)
+        turn_ms = self._cold_turn_ms(node)
         if node.sent_at >= node.cold_since and self.now - node.sent_at < turn_ms * s.directors:
             return False
         requests = self._fleet_requests(node, ask, turn_ms)
@@ -849,7 +917,17 @@
         also_cold = sum(equal) - 1
         turns = math.ceil((requests / COLD_TURN_REQUESTS - also_cold) / (len(equal) - also_cold))
         turns = min(max(turns, 1), s.directors)
-        return (int((self.now - node.cold_since) // turn_ms) + node.info.node) % turns == s.director % turns
+        return self._is_turn(node, self.now - node.cold_since, turn_ms, turns)
+
+    def _cold_turn_ms(self, node: _Node) -> float:
+        """The time in which a cold node's budget allows the fleet one set-up; `warm_up_ms` is above 0."""
+        s = self.settings
+        slots = s.kind_slots[node.info.kind] if node.info.kind < len(s.kind_slots) else min(s.kind_slots)
+        return s.warm_up_ms / (slots * s.cold_from * s.cold_multiple * COLD_BUDGET_FRACTION)
+
+    def _is_turn(self, node: _Node, elapsed_ms: float, turn_ms: float, turns: int) -> bool:
+        """Whether this director has the present one of so many turns at the node."""
+        return (int(elapsed_ms // turn_ms) + node.info.node) % turns == self.settings.director % turns
 
     def _count_failure(self, node: _Node, outcome: fl.Outcome, was_playing: bool) -> None:
         """Suspend a node that breaks, cannot be reached or does not start what it was sent.
