A title whose only links were never reported is tried in the end

Seen in virtual time: a title whose only holder is idle and was never reported on got none of 300 requests in 13 minutes, while sessions on other links kept reporting that those were full.

Cause: the use of an unreported link is the mean over the reported ones, which is new as long as any link is reported on, so its report never became overdue. That mean closes such a link for ten raise delays (80 s at most) without a set-up there; then one session tries it.

Failed before: test_a_link_never_reported_is_tried_in_the_end... (both cases, no trial). After: all of test_link_trials.py and the module's tests pass.

--- a/foxlift/logic.py
+++ b/foxlift/logic.py
@@ -55,6 +55,7 @@
 UNREPORTED_USE = 0.6  # link use assumed before any report: a director just started uses middle rungs
 MAX_USE_SAMPLES = 20  # reports over which the mean link use is taken: a few seconds
 UNREPORTED_MARGIN = 0.2  # highest margin on the mean use for an unreported link; falls with own sessions
+UNREPORTED_TRIAL_DELAYS = 10.0  # raise delays until reports of other links no longer close an unreported one
 REPORT_AGE_MS = 400.0  # typical age of a report in an answer: nodes refresh it at intervals and send it late
 MAX_LOGGED_CHANGES = 200  # own changes kept between two reports on a link or uplink
 
@@ -136,6 +137,7 @@
     delivered_share: float = 1.0  # by the last note
     delivered_at: float = -1e18
     sent_at: float = -1e18  # when this director last sent it a set-up
+    listed_at: float = -1e18  # when it was added to the list
 
     def add_session(self, session: _Session) -> None:
         self.sessions[session.ask.session] = session
@@ -529,12 +531,14 @@
         """Time of the latest report on which the estimated use of a link or an uplink rests.
 
         The use of an unreported link is the mean over links, which is new as long as any link is reported on.
+        So that does not count for ever for a node to which nothing is sent.
         """
         if pipe.reported_use is not None:
             return pipe.use_at
         node = pipe.nodes[0]
         if node.link is pipe:
-            return self.mean_use_at
+            idle_since = max(node.sent_at, node.listed_at)
+            return min(self.mean_use_at, idle_since + (UNREPORTED_TRIAL_DELAYS - 1) * self.raise_delay_ms)
         return max(self._estimated_at(node.link) for node in pipe.nodes)
 
     def _has_trial_turn(self, node: _Node, ask: fl.Ask) -> bool:
@@ -849,7 +853,7 @@
             number = info.cell % max(self.settings.racks, 1)
             uplink_kb = self.settings.uplink_kb
             rack = self.racks.setdefault(number, self._new_pipe(uplink_kb if uplink_kb > 0 else math.inf))
-            node = self.nodes[info.node] = _Node(info, link, rack)
+            node = self.nodes[info.node] = _Node(info, link, rack, listed_at=self.now)
             link.nodes.append(node)
             rack.nodes.append(node)
             self.cells.setdefault(info.cell, []).append(node)
--- a/tests/test_link_trials.py
+++ b/tests/test_link_trials.py
@@ -10,6 +10,7 @@
 import random
 from collections import deque
 from dataclasses import replace
+from itertools import pairwise
 from pathlib import Path
 
 import pytest
@@ -17,7 +18,7 @@
 from test_platform_sockets import name, run_scenario, scene
 
 from foxlift import interface as fl
-from foxlift.logic import SHORT_DURATION_MS, Director
+from foxlift.logic import SHORT_DURATION_MS, UNREPORTED_TRIAL_DELAYS, Director
 from foxlift.standins.platform import rtsp_request, start_line
 
 WEAK_LINKS = replace(SETTINGS, link_kb_per_weight=14_000.0, report_every_ms=2750.0, note_late_ms=742.0)
@@ -159,6 +160,28 @@
     assert servers.started[-1] == (servers.now, 2)
 
 
+@pytest.mark.parametrize("racks", [1, 3])
+def test_a_link_never_reported_is_tried_in_the_end_while_others_report_that_they_are_full(racks: int) -> None:
+    """Guards against a title whose only holder was never reported on: it was refused for good."""
+    servers = Servers(replace(WEAK_LINKS, racks=racks, uplink_kb=140_000.0 if racks == 1 else 14_000.0), 3)
+    for _ in range(6):
+        servers.request(2)
+    servers.use = dict.fromkeys(range(2), FULL_USE)
+    for _ in range(300):
+        servers.advance(servers.now + 2750.0)
+        for session in [session for session, node in servers.playing.items() if node == 2]:
+            del servers.playing[session]  # it ends before any report
+            servers.end(session, 2)
+        servers.report_all()
+        servers.request(1, first_cell=2)
+    tried_at = [at for at, node in servers.started if node == 2]
+    delay_ms = UNREPORTED_TRIAL_DELAYS * servers.module.raise_delay_ms
+    assert tried_at and tried_at[0] <= delay_ms + 2750.0
+    gaps = [later - earlier for earlier, later in pairwise(tried_at)]
+    assert all(delay_ms <= gap <= delay_ms + 2 * 2750.0 for gap in gaps), gaps
+    assert len(gaps) >= 5
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_an_idle_server_gets_a_request_within_a_time_that_follows_from_the_settings(seed: int) -> None:
     """After any reports, ends and restarts: once no server is in trouble, one of the next requests starts."""
