Test: a ping answered while the process was stopped keeps its connection

This one plays a process that stands still while the answer to its ping arrives and the ping's time-out passes.

--- a/tests/test_platform_struck_connections.py
+++ b/tests/test_platform_struck_connections.py
@@ -12,6 +12,7 @@
 import pytest
 from test_platform_lines import make_pool
 from test_platform_sockets import name, run_scenario, scene
+from test_platform_turns import write_now
 
 from foxlift.platform import pool_messages, pooled_connection, server_pool
 from foxlift.platform.pooled_connection import SetupAnswer
@@ -181,6 +182,40 @@
     run_scenario(test)
 
 
+def test_a_ping_answered_while_the_process_was_stopped_keeps_its_connection(tmp_path: Path) -> None:
+    """Its time-out expires during the pause as well, and timers run before sockets are read."""
+
+    async def test() -> None:
+        async with scene(tmp_path, servers=1) as world:
+            viewer = await world.viewer()
+            [server] = world.servers
+            viewer.send(start_line(name(1)))
+            answer = await viewer.answer(name(1))
+            assert answer is not None and answer["verb"] == "STARTED"
+            [writer] = server.writers
+            server.struck.add(writer)  # the test answers the ping in its place
+            [pool] = world.director.servers.pools.values()
+            while not pool.connections[1].pinged_at:
+                await asyncio.sleep(0.01)
+
+            def pause() -> float:  # inside a read, so that timers run before the next one
+                world.director.client_read = client_read  # type: ignore[method-assign]
+                write_now(writer, rtsp_answer(200, name(0), cseq=3))
+                time.sleep((pooled_connection.PING_TIMEOUT_MS + 200) / 1000)
+                server.struck.clear()
+                return client_read()
+
+            client_read = world.director.client_read
+            world.director.client_read = pause  # type: ignore[method-assign]
+            viewer.send(start_line(name(2)))
+            answer = await viewer.answer(name(2))
+            assert answer is not None
+            await asyncio.sleep(0.3)
+            assert (1, 1) in world.director.servers.connections
+
+    run_scenario(test)
+
+
 # ---- Releases lost with a connection -----------------------------------------------------------------------
 def opened(actions: list[pool_messages.Action]) -> list[int]:
     return [action.conn for action in actions if isinstance(action, pool_messages.OpenConnection)]
