A suspicion that others confirm ends though the director itself became slow

Cause: each director that confirms shortens the suspicion and starts another timer. If this director's health falls before that ends, the timer comes too early, and it was started again only for a suspicion that nobody had confirmed. The peer keeps the time of its last timer now; one that comes too early is started again if no later one is left. The view's events and actions stand in view_messages.py.

--- a/bench/scale/control_scans.py
+++ b/bench/scale/control_scans.py
@@ -13,7 +13,7 @@
 from foxlift.director.cluster.zone_planning import ReportMessage
 from foxlift.membership import BoxEntry, BoxList, CacheList, ListDelta, ListReceived, ListWatch, PollDue
 from foxlift.membership.boxlist import encode_full, read_response
-from foxlift.peers import view
+from foxlift.peers import view, view_messages
 from foxlift.peers.messages import MAX_UPDATES, PeerState, Ping, Update
 from foxlift.platform import discovery_watch
 from foxlift.recovery import takeover
@@ -51,20 +51,20 @@
     for begin in range(1, directors, MAX_UPDATES):
         told = names[begin : begin + MAX_UPDATES]
         updates = tuple(Update(name, PeerState.ALIVE, PEER_RUN, 0) for name in told)
-        member.handle(0.0, view.RequestReceived(begin, Ping(told[0], PEER_RUN, updates)))
+        member.handle(0.0, view_messages.RequestReceived(begin, Ping(told[0], PEER_RUN, updates)))
     return member
 
 
 def _answer_with_news(directors: int) -> Sample:
     member = _view_with_news(directors)
-    question = view.RequestReceived(1, Ping(director_names(directors)[1], PEER_RUN))
+    question = view_messages.RequestReceived(1, Ping(director_names(directors)[1], PEER_RUN))
     return processor_ms(lambda: member.handle(0.0, question))
 
 
 def _probe_choice(directors: int) -> Sample:
     member = _view_with_news(directors)
     member._gossip.clear()  # long after the start: what is left is the choice of whom to probe
-    due = view.TimerDue(view.NextProbe())
+    due = view_messages.TimerDue(view_messages.NextProbe())
     return processor_ms(lambda: member.handle(0.0, due), rounds=31)
 
 
--- a/bench/scale/virtual_fleet.py
+++ b/bench/scale/virtual_fleet.py
@@ -24,7 +24,7 @@
 from foxlift import peers as pr
 from foxlift.director.cluster.messages import JSON_HEADERS
 from foxlift.http.messages import encode_head, encode_request
-from foxlift.peers import view as peers_view
+from foxlift.peers import view_messages
 
 TIMED_VIEWS = 8
 SETTLE_MS = 3_000.0
@@ -151,7 +151,7 @@
     def leave(self, name: str) -> int:
         """A planned stop: the member says that it leaves, and is gone; gives back the run it had."""
         view = self.members[name].view
-        self._do(name, view.handle(self.now, peers_view.Leave()))
+        self._do(name, view.handle(self.now, view_messages.Leave()))
         self.kill(name)
         return view.boot_epoch
 
--- a/foxlift/director/cluster/membership.py
+++ b/foxlift/director/cluster/membership.py
@@ -10,7 +10,7 @@
 from foxlift.director.cluster.messages import JSON_HEADERS
 from foxlift.director.cluster.server import PeerServer
 from foxlift.http import Exchange
-from foxlift.peers import messages, view
+from foxlift.peers import messages, view, view_messages
 from foxlift.peers.messages import PeerState
 
 
@@ -51,11 +51,11 @@
 
     def leave(self) -> None:
         """Announce to the peers that this director stops."""
-        self._handle(view.Leave())
+        self._handle(view_messages.Leave())
 
     def renew(self) -> None:
         """Continue in the present boot epoch."""
-        self._handle(view.Renew(self._context.boot_epoch))
+        self._handle(view_messages.Renew(self._context.boot_epoch))
 
     def alive(self) -> list[str]:
         """Names of the alive and suspected directors, this one first."""
@@ -70,32 +70,32 @@
         peer = self.view.peers.get(name)
         return 0 if peer is None else peer.boot_epoch
 
-    def _handle(self, event: view.Event) -> None:
+    def _handle(self, event: view_messages.Event) -> None:
         self._carry_out(self.view.handle(self._context.now(), event))
 
-    def _carry_out(self, actions: list[view.Action]) -> None:
+    def _carry_out(self, actions: list[view_messages.Action]) -> None:
         for action in actions:
             match action:
-                case view.Send():
+                case view_messages.Send():
                     self._probe(action)
-                case view.Reply(number, message):
+                case view_messages.Reply(number, message):
                     self._answer(number, message)
-                case view.StartTimer(delay_ms, timer):
-                    self._context.later(delay_ms, partial(self._handle, view.TimerDue(timer)))
-                case view.PeerChanged(name, state, epoch, _):
+                case view_messages.StartTimer(delay_ms, timer):
+                    self._context.later(delay_ms, partial(self._handle, view_messages.TimerDue(timer)))
+                case view_messages.PeerChanged(name, state, epoch, _):
                     self._context.log.info("peer", peer=name, state=state.name.lower(), run=epoch)
                     self._listener.peer_changed(name, state, epoch)
-                case view.Superseded(epoch):
+                case view_messages.Superseded(epoch):
                     self._listener.superseded_by(epoch)
 
-    def _probe(self, send: view.Send) -> None:
+    def _probe(self, send: view_messages.Send) -> None:
         def answered(answer: messages.Response | None) -> None:
             if answer is None:
-                self._handle(view.RequestFailed(send.request_id))
+                self._handle(view_messages.RequestFailed(send.request_id))
                 return
             if answer.sender == send.to:
                 self._listener.peer_contacted(send.to)
-            self._handle(view.ResponseReceived(send.request_id, answer))
+            self._handle(view_messages.ResponseReceived(send.request_id, answer))
 
         body = messages.encode(send.message)
         self._client.request(send.to, "/peers/view", body, send.timeout_ms, messages.read_response, answered)
@@ -108,7 +108,7 @@
         number = self._context.next_number()
         self._probes[number] = exchange
         exchange.on_disconnect = partial(self._forget, number)
-        self._handle(view.RequestReceived(number, message))
+        self._handle(view_messages.RequestReceived(number, message))
 
     def _forget(self, number: int) -> None:
         self._probes.pop(number, None)
--- a/foxlift/peers/__init__.py
+++ b/foxlift/peers/__init__.py
@@ -7,12 +7,12 @@
 """
 
 from foxlift.peers.messages import Ack, PeerState, Ping, PingFor, Request, Response, Update
-from foxlift.peers.view import (
+from foxlift.peers.view import Peers
+from foxlift.peers.view_messages import (
     Action,
     Event,
     Leave,
     PeerChanged,
-    Peers,
     Reconfigured,
     Reply,
     RequestFailed,
--- a/foxlift/peers/view.py
+++ b/foxlift/peers/view.py
@@ -33,6 +33,25 @@
 from dataclasses import dataclass, field
 
 from foxlift.peers.messages import MAX_UPDATES, Ack, PeerState, Ping, PingFor, Request, Response, Update
+from foxlift.peers.view_messages import (
+    Action,
+    DirectProbeTimeout,
+    Event,
+    Leave,
+    NextProbe,
+    PeerChanged,
+    Reconfigured,
+    Renew,
+    Reply,
+    RequestFailed,
+    RequestReceived,
+    ResponseReceived,
+    Send,
+    StartTimer,
+    Superseded,
+    SuspicionTimeout,
+    TimerDue,
+)
 
 PERIOD_MS = 500.0  # between two probes of one director
 DIRECT_FRACTION = 0.4  # of the period, until helpers are asked
@@ -43,133 +62,10 @@
 MAX_HEALTH = 8  # a slow director stretches its periods to nine times at most
 GOSSIP_FACTOR = 3.0  # times log2 of the fleet: how often an update is sent
 ABSENT_PROBE_INTERVAL = 4  # each fourth probe goes to an unreachable peer: a healed partition shows
+TIMER_TOLERANCE_MS = 0.5  # a timer may end this early
 MAX_INDIRECT_REQUESTS = 64  # at once
 
 
-# ---- Events -----------------------------------------------------------------------------------------------
-@dataclass(frozen=True, slots=True)
-class RequestReceived:
-    """A peer's message. `request`: number chosen by the caller, names the response."""
-
-    request: int
-    message: Request
-
-
-@dataclass(frozen=True, slots=True)
-class ResponseReceived:
-    """A response to `Send`."""
-
-    request_id: int
-    message: Response
-
-
-@dataclass(frozen=True, slots=True)
-class RequestFailed:
-    """No response to `Send`, or an unreadable one."""
-
-    request_id: int
-
-
-@dataclass(frozen=True, slots=True)
-class TimerDue:
-    """A timer has ended."""
-
-    timer: Timer
-
-
-@dataclass(frozen=True, slots=True)
-class Reconfigured:
-    """The settings have changed and name these directors."""
-
-    names: frozenset[str]
-
-
-@dataclass(frozen=True, slots=True)
-class Leave:
-    """This director stops: announce it to some peers, which pass it on."""
-
-
-@dataclass(frozen=True, slots=True)
-class Renew:
-    """This director continues in a higher boot epoch; beliefs about the former one no longer count."""
-
-    boot_epoch: int
-
-
-Event = RequestReceived | ResponseReceived | RequestFailed | TimerDue | Reconfigured | Leave | Renew
-
-
-# ---- Timers and actions -----------------------------------------------------------------------------------
-@dataclass(frozen=True, slots=True)
-class NextProbe:
-    """The next probe begins."""
-
-
-@dataclass(frozen=True, slots=True)
-class DirectProbeTimeout:
-    """The target of this probe has not responded directly."""
-
-    probe: int
-
-
-@dataclass(frozen=True, slots=True)
-class SuspicionTimeout:
-    """The suspicion of this peer may have lasted long enough."""
-
-    name: str
-    boot_epoch: int
-    incarnation: int
-
-
-Timer = NextProbe | DirectProbeTimeout | SuspicionTimeout
-
-
-@dataclass(frozen=True, slots=True)
-class Send:
-    """Send a request to a peer; a response counts within `timeout_ms`."""
-
-    to: str
-    request_id: int
-    message: Request
-    timeout_ms: float
-
-
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """Respond to a peer's request."""
-
-    request: int
-    message: Response
-
-
-@dataclass(frozen=True, slots=True)
-class StartTimer:
-    """Deliver TimerDue with this timer after `delay_ms`."""
-
-    delay_ms: float
-    timer: Timer
-
-
-@dataclass(frozen=True, slots=True)
-class PeerChanged:
-    """The belief about a peer has changed; `version` counts such changes in this boot epoch."""
-
-    name: str
-    state: PeerState
-    boot_epoch: int
-    version: int
-
-
-@dataclass(frozen=True, slots=True)
-class Superseded:
-    """Another process with a later boot epoch has this director's name: this one must stop acting."""
-
-    boot_epoch: int
-
-
-Action = Send | Reply | StartTimer | PeerChanged | Superseded
-
-
 @dataclass(slots=True)
 class _Peer:
     name: str
@@ -177,6 +73,7 @@
     boot_epoch: int = 0
     incarnation: int = 0
     since: float = 0.0  # when it was suspected
+    timer_due_at: float = 0.0  # of the last timer started for the suspicion
     suspecting_peers: set[str] = field(default_factory=set)
 
     @property
@@ -465,6 +362,7 @@
 
     def _start_suspicion_timer(self, peer: _Peer) -> None:
         left = max(peer.since + self._suspicion_ms(peer) - self._now, 0.0)
+        peer.timer_due_at = self._now + left
         self._actions.append(StartTimer(left, SuspicionTimeout(peer.name, peer.boot_epoch, peer.incarnation)))
 
     def _confirm(self, peer: _Peer, update: Update) -> None:
@@ -482,10 +380,11 @@
             return
         if (peer.boot_epoch, peer.incarnation) != (boot_epoch, incarnation):
             return
-        if self._now >= peer.since + self._suspicion_ms(peer) - 0.5:
+        if self._now >= peer.since + self._suspicion_ms(peer) - TIMER_TOLERANCE_MS:
             self._apply(Update(name, PeerState.DEAD, boot_epoch, incarnation))
-        elif len(peer.suspecting_peers) == 1:
-            self._start_suspicion_timer(peer)  # this director has become slower meanwhile
+        elif self._now >= peer.timer_due_at - TIMER_TOLERANCE_MS:
+            # this director has become slower meanwhile, and no later timer is left
+            self._start_suspicion_timer(peer)
 
     # ---- Gossip -------------------------------------------------------------------------------------------
     def _spread(self, update: Update) -> None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -15,6 +15,7 @@
 
 from foxlift import peers as pr
 from foxlift.peers import view as vw
+from foxlift.peers import view_messages
 from foxlift.peers.messages import MAX_UPDATES, encode
 
 ALIVE, SUSPECTED, DEAD, LEFT = (
@@ -117,7 +118,7 @@
     assert not actions and fleet.members["d2"].view.peers["d1"].boot_epoch == 2
     newer = pr.Ping("d2", 1, (pr.Update("d1", ALIVE, 2, 0),))
     assert old.view.handle(fleet.now, pr.RequestReceived(1, newer)) == [pr.Superseded(2)]
-    assert old.view.handle(fleet.now, pr.TimerDue(vw.NextProbe())) == []
+    assert old.view.handle(fleet.now, pr.TimerDue(view_messages.NextProbe())) == []
 
 
 def test_a_director_that_announces_its_leave_is_known_to_have_left_and_not_suspected() -> None:
@@ -270,20 +271,25 @@
 def test_a_suspicion_ends_in_death_when_the_director_itself_becomes_slow_meanwhile(suspecters: int) -> None:
     """A director that is suspected itself stretches its waits; the timer of a suspicion must follow."""
     view = vw.Peers("d0", 1, [f"d{k}" for k in range(6)], seed=1, period_ms=100.0)
-    timers: list[tuple[float, vw.Timer]] = []
+    timers: list[tuple[float, view_messages.Timer]] = []
 
-    def handle(now: float, event: vw.Event) -> None:
+    def handle(now: float, event: view_messages.Event) -> None:
         actions = view.handle(now, event)
-        timers.extend((now + a.delay_ms, a.timer) for a in actions if isinstance(a, vw.StartTimer))
+        timers.extend((now + a.delay_ms, a.timer) for a in actions if isinstance(a, view_messages.StartTimer))
 
-    handle(0.0, vw.RequestReceived(1, pr.Ping("d1", 1)))
+    handle(0.0, view_messages.RequestReceived(1, pr.Ping("d1", 1)))
     for k in range(suspecters):
         by = f"d{2 + k}"
-        handle(10.0 * k, vw.RequestReceived(2 + k, pr.Ping(by, 1, (pr.Update("d1", SUSPECTED, 1, 0, by),))))
-    handle(50.0, vw.RequestReceived(9, pr.Ping("d5", 1, (pr.Update("d0", SUSPECTED, 1, 0, "d5"),))))
+        handle(
+            10.0 * k,
+            view_messages.RequestReceived(2 + k, pr.Ping(by, 1, (pr.Update("d1", SUSPECTED, 1, 0, by),))),
+        )
+    handle(
+        50.0, view_messages.RequestReceived(9, pr.Ping("d5", 1, (pr.Update("d0", SUSPECTED, 1, 0, "d5"),)))
+    )
     assert view.state("d1") is SUSPECTED
     while timers:
         due, timer = min(timers, key=lambda entry: entry[0])
         timers.remove((due, timer))
-        handle(due, vw.TimerDue(timer))
+        handle(due, view_messages.TimerDue(timer))
     assert view.state("d1") is DEAD
