A title's cap lets no player fetch more than is booked for it

Seen: test_never_more_than_booked_and_never_nothing, listed in KNOWN-RED.txt (always): where Periods differ in audio a player that keeps to its cap could fetch 25 kbit/s where 24 were booked.

Cause: the cap is one for the title, the highest sum of video and sound in any Period; where another Period's sound is lower it has room for a higher video there. The cap is now the highest under which no Period lets more be fetched than the rate, or than the lowest renditions take anyway.

Failed before: the listed test.

--- a/foxlift/manifest/renditions.py
+++ b/foxlift/manifest/renditions.py
@@ -9,6 +9,9 @@
 - video may take what the best of those leaves of the rung's rate;
 - of every choice its lowest rendition may always be played, fit or not: never nothing.
 
+The cap holds for the whole title, and the sound differs between its Periods. Where the cap that one Period
+would need lets a player fetch more than the rate in another, it is lowered: the lowest renditions need none.
+
 What is booked is the rate, or what may be played at most where a lowest rendition lies above it. The cap that
 a player is told (CMSD `mb`) is that of video and sound together: dash.js takes the sound's rate off it before
 it chooses video, Shaka holds the two together against it.
@@ -23,6 +26,7 @@
 
 SIDE_PART = 0.25  # of the rate, for each kind beside video
 VIDEO, AUDIO = "video", "audio"
+TOLERANCE_KBPS = 1e-6  # between sums of the same rates in different order
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,8 +104,57 @@
         while total > rate and (lower := self._next_lower(video)) is not None:
             # a cap holds for the whole title: a Period with more beside its video brings it down for all
             video, total = lower, self._most(lower, side)
-        cap = max(self._video(p, video) + self._beside(p, side).get(AUDIO, 0.0) for p in self.periods)
-        return Fit(video, side, cap, total)
+        least = video if rate <= floor else self.fit(floor / 8, floor / 8).video_kbps
+        cap = self._cap(video, side, least, max(rate, self._most(least, side)))
+        return Fit(video, side, cap, self._fetchable(cap, side, least))
+
+    def _cap(self, video: float, side: float, least: float, limit: float) -> float:
+        """The highest cap up to this video with its sound under which no more than `limit` can be fetched."""
+        wanted = max(self._video(p, video) + self._beside(p, side).get(AUDIO, 0.0) for p in self.periods)
+        sums = {
+            rendition.kbps + sound
+            for period in self.periods
+            for choice in period
+            if choice.kind == VIDEO
+            for rendition in choice.renditions
+            for sound in self._sounds(period, side)
+        }
+        caps = sorted({cap for cap in sums if cap < wanted} | {wanted}, reverse=True)
+        allowed = (cap for cap in caps if self._fetchable(cap, side, least) <= limit + TOLERANCE_KBPS)
+        return next(allowed, caps[-1])
+
+    def _fetchable(self, cap: float, side: float, least: float) -> float:
+        """The most that a player can fetch at once which keeps to the cap.
+
+        Nothing below the rendition for the rate `least` is listed, so that one is played whatever the cap.
+        """
+        most = 0.0
+        for period in self.periods:
+            beside = self._beside(period, side)
+            others = sum(kbps for kind, kbps in beside.items() if kind != AUDIO)
+            lowest = self._video(period, least)
+            for sound in self._sounds(period, side):
+                video = max(lowest, self._highest_video(period, cap - sound))
+                most = max(most, video + sound + others)
+        return most
+
+    @staticmethod
+    def _sounds(period: tuple[Choice, ...], side: float) -> set[float]:
+        """The rates of sound that may be played; 0 where a Period has none."""
+        sounds = {
+            rendition.kbps
+            for choice in period
+            if choice.kind == AUDIO
+            for rendition in choice.renditions
+            if rendition.kbps <= choice.best(side).kbps
+        }
+        return sounds or {0.0}
+
+    @staticmethod
+    def _highest_video(period: tuple[Choice, ...], limit: float) -> float:
+        """The highest rate of video up to a limit; 0 if there is none."""
+        rates = (r.kbps for c in period if c.kind == VIDEO for r in c.renditions if r.kbps <= limit)
+        return max(rates, default=0.0)
 
     @staticmethod
     def _beside(period: tuple[Choice, ...], side: float) -> dict[str, float]:
