Calls to a peer that refuses connections fail at once, however many wait

Seen: of 20 calls on a pool of 2 connections to a peer that refuses them, 18 were unanswered after 5 s. In service: hundreds of viewers of a dead director were told to come back only after the time for forwarding.

Cause: a connect began with a call or a lost connection only, and a failed one fails one waiting call; those beyond the limit had none under way. When a connect has ended another begins if calls still wait.

Failed before: test_calls_beyond_the_connections_fail_at_once_where_the_peer_ refuses (time-out). After: the tests of http pass.

--- a/foxlift/http/client.py
+++ b/foxlift/http/client.py
@@ -322,7 +322,13 @@
         self._open += 1
         task = self.loop.create_task(self._connect())
         self._opening.add(task)
-        task.add_done_callback(self._opening.discard)
+        task.add_done_callback(self._connect_ended)
+
+    def _connect_ended(self, task: asyncio.Task[None]) -> None:
+        """Begin another connect if calls still wait: those beyond the limit had none under way."""
+        self._opening.discard(task)
+        if self._waiting and not self.closed:
+            self._open_one()
 
     async def _connect(self) -> None:
         try:
@@ -346,7 +352,7 @@
             self.release(connection)
 
     def _connect_failed(self, detail: str) -> None:
-        """A failed connect fails one waiting call; each of the others has its own connect under way."""
+        """A failed connect fails one waiting call."""
         if self._waiting:
             self._waiting.popleft()._settle(Failure(FailureKind.CONNECT, False, detail))
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -10,6 +10,7 @@
 import uvloop
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from ports import free_address
 from sockets import Reply, ask, parse
 
 from foxlift.http import (
@@ -283,6 +284,23 @@
     uvloop.run(main())
 
 
+def test_calls_beyond_the_connections_fail_at_once_where_the_peer_refuses() -> None:
+    """A dead peer: calls without a connection must not wait for their time-out with no connect under way."""
+
+    async def main() -> None:
+        host, _, port = free_address().partition(":")
+        pool = Pool(asyncio.get_running_loop(), host, int(port), PoolLimits(max_connections=2))
+        loop = asyncio.get_running_loop()
+        results = [loop.create_future() for _ in range(20)]
+        for result in results:
+            pool.call("GET", "/", result.set_result, timeout_ms=20_000.0)
+        failures = await asyncio.wait_for(asyncio.gather(*results), 5)
+        assert {(failure.kind, failure.sent) for failure in failures} == {(FailureKind.CONNECT, False)}
+        pool.close()
+
+    uvloop.run(main())
+
+
 def responds_with(data: bytes, close: bool = True, wait: float = 0.0) -> Peer:
     async def peer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
