Register messages to a peer go together while others are under way

Seen: test_five_hundred_viewers_of_a_dead_director_at_once... , listed in KNOWN-RED.txt (sometimes): "answered with 503 until the time was up".

Cause: each message of a proposer was a request of its own on one of 8 connections a peer, and its 400 ms began when it was asked for. 500 viewers cause about a thousand messages to each peer; those that waited longer counted as unanswered and their proposals began again. A peer of an earlier version answers 404 and gets single messages.

--- a/foxlift/director/cluster/client.py
+++ b/foxlift/director/cluster/client.py
@@ -17,6 +17,7 @@
 MAX_FORWARDING_CONNECTIONS = 32  # to one peer, for viewers' requests
 MAX_RESPONSE_BYTES = 4 << 20
 NOTIFY_TIMEOUT_MS = 1000.0
+OK = 200
 
 
 class PeerClient:
@@ -42,17 +43,31 @@
         """Send a request. `done(None)`: no response, or `decode` cannot read it (raises MsgspecError)."""
 
         def finished(result: Response | Failure) -> None:
-            response: T | None = None
-            if isinstance(result, Response) and result.status == 200:
-                try:
-                    response = decode(result.body)
-                except msgspec.MsgspecError:
-                    self._context.counters.add("peers not readable")
+            done(self.decode(result, decode))
+
+        self.call(to, path, body, timeout_ms, finished)
+
+    def call(
+        self, to: str, path: str, body: bytes, timeout_ms: float, done: Callable[[Response | Failure], None]
+    ) -> None:
+        """Send a request whose status the caller needs; `done` is not called once the service is closed."""
+
+        def finished(result: Response | Failure) -> None:
             if not self._context.closed:
-                done(response)
+                done(result)
 
         self._pool(to).call("POST", path, finished, headers=JSON_HEADERS, body=body, timeout_ms=timeout_ms)
 
+    def decode(self, result: Response | Failure, decode: Callable[[bytes], T]) -> T | None:
+        """The decoded body of a result; None if it is no success or cannot be read, which is counted."""
+        if not isinstance(result, Response) or result.status != OK:
+            return None
+        try:
+            return decode(result.body)
+        except msgspec.MsgspecError:
+            self._context.counters.add("peers not readable")
+            return None
+
     def notify(self, to: str, path: str, body: bytes) -> None:
         """Send a message that is repeated later, so that its loss does not matter."""
         if to not in self._context.addresses or self._context.closed:
--- a/foxlift/director/cluster/messages.py
+++ b/foxlift/director/cluster/messages.py
@@ -51,3 +51,19 @@
     sender: PeerName
     boot_epoch: BootEpoch = msgspec.field(name="run")
     answer: RegisterAnswer
+
+
+class RegisterBatchRequest(msgspec.Struct, frozen=True):
+    """Several messages of a proposer to replicas of registers, in order."""
+
+    sender: PeerName
+    boot_epoch: BootEpoch = msgspec.field(name="run")
+    asks: Annotated[tuple[RegisterAsk, ...], Meta(min_length=1)]
+
+
+class RegisterBatchResponse(msgspec.Struct, frozen=True):
+    """The replicas' answers in the order of the messages; None where the disk failed."""
+
+    sender: PeerName
+    boot_epoch: BootEpoch = msgspec.field(name="run")
+    answers: tuple[RegisterAnswer | None, ...]
--- a/foxlift/director/cluster/registers.py
+++ b/foxlift/director/cluster/registers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 
 import msgspec
 
@@ -13,15 +14,19 @@
 from foxlift.consensus.register import RequestFailed, ResponseReceived, Send
 from foxlift.director.cluster.client import PeerClient
 from foxlift.director.cluster.context import ClusterContext
-from foxlift.director.cluster.messages import JSON_HEADERS, RegisterRequest, RegisterResponse
+from foxlift.director.cluster.messages import (
+    JSON_HEADERS,
+    RegisterBatchRequest,
+    RegisterBatchResponse,
+    RegisterRequest,
+    RegisterResponse,
+)
+from foxlift.director.cluster.register_client import REGISTER_BATCH_PATH, REGISTER_PATH, RegisterClient
 from foxlift.director.cluster.server import PeerServer
 from foxlift.http import Exchange
 from foxlift.zones.agreement import REGISTER_END_UNIX_MS as PLAN_END_UNIX_MS
 from foxlift.zones.agreement import REGISTER_KEY as PLAN_KEY
 
-REGISTER_TIMEOUT_MS = 400.0
-_decode_response = msgspec.json.Decoder(RegisterResponse).decode
-
 Reply = Callable[[RegisterAnswer | None], None]
 
 
@@ -80,7 +85,9 @@
     def __init__(self, context: ClusterContext, client: PeerClient, server: PeerServer) -> None:
         self._context, self._client, self._server = context, client, server
         self.replica = RegisterReplica(context)
-        server.add_handler("/peers/registers", self._receive)
+        self._clients: dict[str, RegisterClient] = {}  # by peer
+        server.add_handler(REGISTER_PATH, self._receive)
+        server.add_handler(REGISTER_BATCH_PATH, self._receive_batch)
 
     def send(self, send: Send, done: Callable[[ResponseReceived | RequestFailed], None]) -> None:
         """Send to a replica, which may be this director's own. `done` is never called within this call."""
@@ -97,16 +104,12 @@
             self.replica.handle(send.message, respond)
             return
 
-        def received(response: RegisterResponse | None) -> None:
-            is_from_replica = response is not None and response.sender == send.to
-            respond(response.answer if response is not None and is_from_replica else None)
+        self._client_of(send.to).send(send.message, respond)
 
-        body = msgspec.json.encode(
-            RegisterRequest(self._context.name, self._context.boot_epoch, send.message)
-        )
-        self._client.request(
-            send.to, "/peers/registers", body, REGISTER_TIMEOUT_MS, _decode_response, received
-        )
+    def _client_of(self, peer: str) -> RegisterClient:
+        if peer not in self._clients:
+            self._clients[peer] = RegisterClient(self._context, self._client, peer)
+        return self._clients[peer]
 
     def _receive(self, exchange: Exchange) -> None:
         request = msgspec.json.decode(exchange.request.body, type=RegisterRequest)
@@ -123,3 +126,22 @@
             exchange.reply(200, JSON_HEADERS, msgspec.json.encode(response))
 
         self.replica.handle(request.ask, reply)
+
+    def _receive_batch(self, exchange: Exchange) -> None:
+        request = msgspec.json.decode(exchange.request.body, type=RegisterBatchRequest)
+        if not self._server.admits(exchange, request.sender, request.boot_epoch):
+            return
+        answers: list[RegisterAnswer | None] = [None] * len(request.asks)
+        unanswered = set(range(len(request.asks)))
+
+        def reply(number: int, answer: RegisterAnswer | None) -> None:
+            if number not in unanswered:
+                return
+            unanswered.discard(number)
+            answers[number] = answer
+            if not unanswered and not exchange.disconnected:
+                response = RegisterBatchResponse(self._context.name, self._context.boot_epoch, tuple(answers))
+                exchange.reply(200, JSON_HEADERS, msgspec.json.encode(response))
+
+        for number, ask in enumerate(request.asks):
+            self.replica.handle(ask, partial(reply, number))
--- a/foxlift/director/cluster/server.py
+++ b/foxlift/director/cluster/server.py
@@ -3,6 +3,7 @@
 POST /peers/view         membership probes: `membership.py`
 POST /peers/hello        a boot epoch begins: `disk_trust.py`
 POST /peers/registers    a proposer's message to a register's replica: `registers.py`
+POST /peers/register-batches    several of them
 POST /peers/zones, /peers/plan, /peers/order    `zone_endpoints.py`
 GET  /dash/...           a viewer's request, forwarded by the director that received it
 """
