--- a/foxlift/standins/box.py
+++ b/foxlift/standins/box.py
@@ -14,12 +14,11 @@
 
 import msgspec
 
-from foxlift.boxes.notices import BoxNotice, Hello, OwnershipLost, RungInForce, SessionEnded, encode_notice
+from foxlift.boxes.notices import BoxNotice, Hello, RungInForce, SessionEnded, encode_notice
 from foxlift.boxes.resource import RungRequest, SetUpRequest
 from foxlift.boxes.takeover import (
     BOOT_HEADER,
     FENCE_HEADER,
-    MAX_SESSIONS_PER_RESPONSE,
     OWNER_HEADER,
     TakeoverRequest,
 )
@@ -31,7 +30,7 @@
 from foxlift.standins.notice_streams import NoticeStreams
 from foxlift.standins.owners import Owners
 from foxlift.standins.segments import SegmentObserver, SegmentSender
-from foxlift.standins.takeovers import held_session, make_answer
+from foxlift.standins.takeovers import is_alive, take_over
 from foxlift.standins.timers import Timers
 
 TICK_S = 0.1
@@ -150,7 +149,7 @@
         except msgspec.MsgspecError as error:
             exchange.reply_problem(400, "malformed set-up", str(error))
             return
-        if order.boot_epoch and self.owners.fenced(order.director, order.boot_epoch):
+        if order.boot_epoch and self.owners.fenced(order.director, order.boot_epoch, unix_ms()):
             self._refuse_fenced(exchange, order.director)
             return
         if order.boot and order.boot != model.boot:
@@ -204,7 +203,7 @@
             if not exchange.disconnected:
                 exchange.reply_problem(410, "released meanwhile")
             return
-        if order.boot_epoch and self.owners.fenced(order.director, order.boot_epoch):
+        if order.boot_epoch and self.owners.fenced(order.director, order.boot_epoch, unix_ms()):
             # taken over meanwhile: it never ran, and never will
             self._refuse_fenced(exchange, order.director)
             return
@@ -311,43 +310,24 @@
     # ---- Between directors --------------------------------------------------------------------------------
     def _takeover(self, exchange: Exchange) -> None:
         """Compare and set: what `of` owns in runs up to `upto` is the asker's from now on."""
-        owners, model, now_ms = self.owners, self.model, unix_ms()
+        owners, now_ms = self.owners, unix_ms()
         try:
             order = msgspec.json.decode(exchange.request.body, type=TakeoverRequest)
         except msgspec.MsgspecError as error:
             exchange.reply_problem(400, "malformed takeover", str(error))
             return
-        if owners.fenced(order.new_owner, order.boot_epoch) or (
+        if owners.fenced(order.new_owner, order.boot_epoch, now_ms) or (
             order.former_owner == order.new_owner and order.max_epoch >= order.boot_epoch
         ):
             self._refuse_fenced(exchange, order.new_owner, 409)
             return
-        if order.former_owner != order.new_owner and (heard := owners.streams.get(order.former_owner, 0)):
-            later = 0 < order.max_epoch < heard
-            if later or not order.force:
-                self.takes_refused += 1
-                self._refuse(exchange, "alive", 409)
-                return
-        taken = owners.take(
-            order.former_owner,
-            order.max_epoch,
-            order.new_owner,
-            order.boot_epoch,
-            now_ms,
-            order.only_set_up,
-            MAX_SESSIONS_PER_RESPONSE,
-        )
-        for set_up in taken.set_ups:
-            session = held_session(model, set_up)
-            session.director = order.new_owner
-            session.told_ms = max(session.told_ms, now_ms)
-        model.counter += len(taken.set_ups)  # an earlier hello does not tell of them
-        self.streams.expect(order.new_owner)
-        if taken.set_ups and order.former_owner != order.new_owner:
-            self._tell(order.former_owner, OwnershipLost(taken.set_ups, order.new_owner, now_ms))
-        ends = self.streams.kept_ends(order.new_owner)
-        now = self.loop.time()
-        answer = make_answer(order, model, owners, ends, more=taken.more, now=now, now_ms=now_ms)
+        if order.former_owner != order.new_owner and is_alive(order, owners, now_ms):
+            self.takes_refused += 1
+            self._refuse(exchange, "alive", 409)
+            return
+        answer, lost = take_over(order, self.model, owners, self.streams, self.loop.time(), now_ms)
+        if lost is not None:
+            self._tell(order.former_owner, lost)
         exchange.reply(200, (("content-type", "application/json"),), msgspec.json.encode(answer))
 
     # ---- Notices ------------------------------------------------------------------------------------------
@@ -355,7 +335,7 @@
         query = dict(pair.partition("=")[::2] for pair in exchange.request.query.split("&"))
         director, run = query.get("director", ""), query.get("run", "")
         keep = int(query["keep"]) if query.get("keep", "").isdigit() else 0
-        if keep and self.owners.fenced(director, keep):
+        if keep and self.owners.fenced(director, keep, unix_ms()):
             self._refuse_fenced(exchange, director, 409)
             return
         self.streams.close(director)
--- a/foxlift/standins/owners.py
+++ b/foxlift/standins/owners.py
@@ -1,32 +1,35 @@
-"""Whose each session at a box is: the box as arbiter between directors. No I/O; times are handed in.
-
-    session   event                                            next          what is done
-    (none)    set-up of a run that is not fenced               owned         by its sender, term 1
-    (none)    set-up of a run that is fenced                   (none)        refused: it can never run
-    owned     take, owner and run as stated, not heard any
-              more or `certain`                                owned         by the taker, term + 1
-    owned     take, owner or run another                       owned         nothing
-    owned     a command of its owner                           owned         carried out
-    owned     a command of anybody else                        owned         409
-    owned     it ends                                          remembered    for MEMORY_S
-
-A take fences the old owner's runs up to the stated one, for sessions that the box knows and for those that it
-does not: a set-up that was on its way is either found here or can never run. Fences only rise, so there is
-one entry a director, whatever becomes of it.
+"""Owners of the sessions at a box, which arbitrates between directors. No I/O, no clock.
+
+    session   event                                              next         what is done
+    (none)    set-up of a run that is not fenced                 owned        by its sender, term 1
+    (none)    set-up of a run that is fenced                     (none)       refused: it can never run
+    owned     takeover, owner and run as stated, not heard
+              from the owner, or `certain`                       owned        by the new owner, term + 1
+    owned     takeover, owner or run differ                      owned        nothing
+    owned     a command of its owner                             owned        carried out
+    owned     a command of another director                      owned        409
+    owned     it ends                                            remembered   for ENDED_MEMORY_S
+
+A takeover fences the former owner's runs up to the stated one, for known and unknown sessions: a set-up that
+was on its way is either found here or can never run. Fences only rise: one entry for each director is enough.
+
+A takeover that names no run fences the latest one that the box knows. A new run opens its stream only after
+its first requests. So such a takeover counts the owner as heard from for RECENT_REQUEST_MS after a request.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
 
-MEMORY_S = 600.0
-MOST_REMEMBERED = 100_000
-MOST_TAKEN_TOLD = 1000  # of one director's sessions that others took
+ENDED_MEMORY_S = 600.0
+MAX_REMEMBERED_ENDS = 100_000
+RECENT_REQUEST_MS = 2000  # shorter than the time between two takeovers that name no run
+MAX_REPORTED_LOSSES = 1000  # sessions that one director lost to others
 
 
 @dataclass(slots=True)
 class Owned:
-    """A session's owner, since when (Unix ms); `taken`: not by its set-up, but by a take."""
+    """A session's owner. `since_ms`: Unix ms; `taken`: by a takeover and not by its set-up."""
 
     name: str
     run: int
@@ -37,7 +40,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Taken:
-    """What a take brought: set-ups that changed hands; whether there are more."""
+    """Result of a takeover: set-ups whose owner changed; whether more are left."""
 
     set_ups: tuple[str, ...]
     more: bool
@@ -45,49 +48,58 @@
 
 @dataclass(slots=True)
 class Owners:
-    """The owners of one box's sessions, as long as its process lives."""
+    """The owners of one box's sessions, kept until its process ends."""
 
     sessions: dict[str, Owned] = field(default_factory=dict)
     fences: dict[str, int] = field(default_factory=dict)
     seen: dict[str, int] = field(default_factory=dict)
-    streams: dict[str, int] = field(default_factory=dict)  # runs that the box has a stream to
+    last_request_ms: dict[str, int] = field(default_factory=dict)  # of a run that is not fenced
+    streams: dict[str, int] = field(default_factory=dict)  # runs that have a notice stream open
     ended: dict[str, int] = field(default_factory=dict)  # when, Unix ms; in order
     # by old owner and set-up: when it was taken, and by whom
     lost: dict[str, dict[str, tuple[int, str]]] = field(default_factory=dict)
-    forgot_ms: int = 0  # the latest end that is remembered no more
+    forgot_ms: int = 0  # time of the latest end that was dropped
 
-    def fenced(self, name: str, run: int) -> bool:
-        """Whether this run's set-ups and takes are refused; notes the run otherwise."""
+    def fenced(self, name: str, run: int, now_ms: int) -> bool:
+        """Whether requests of this run are refused; if not, the run and the request's time are recorded."""
         if run <= self.fences.get(name, 0):
             return True
         self.seen[name] = max(run, self.seen.get(name, 0))
+        self.last_request_ms[name] = now_ms
         return False
 
+    def hears_from(self, name: str, upto: int, now_ms: int) -> bool:
+        """Whether a takeover from this director up to a run, 0 for any, finds it alive unless `certain`."""
+        if name in self.streams:
+            return True
+        since_ms = now_ms - self.last_request_ms.get(name, now_ms - RECENT_REQUEST_MS)
+        return not upto and 0 <= since_ms < RECENT_REQUEST_MS
+
     def begin(self, set_up: str, name: str, run: int, now_ms: int) -> None:
-        """A session runs from now on."""
+        """A session has begun."""
         self.sessions[set_up] = Owned(name, run, now_ms)
 
     def over(self, set_up: str, now_ms: int) -> None:
-        """It runs no more."""
+        """A session has ended."""
         if self.sessions.pop(set_up, None) is None:
             return
         self.ended[set_up] = now_ms
         while self.ended:
             first, at = next(iter(self.ended.items()))
-            if at > now_ms - MEMORY_S * 1000 and len(self.ended) <= MOST_REMEMBERED:
+            if at > now_ms - ENDED_MEMORY_S * 1000 and len(self.ended) <= MAX_REMEMBERED_ENDS:
                 break
             self.forgot_ms = max(self.forgot_ms, at)
             del self.ended[first]
 
     def may_command(self, set_up: str, name: str, run: int) -> bool:
-        """Whether a command of this sender counts; an unknown session is nobody's and not judged here."""
+        """Whether the sender owns the session. True for unknown sessions: the caller handles those."""
         owned = self.sessions.get(set_up)
         return owned is None or (owned.name, owned.run) == (name, run)
 
     def take(
         self, of: str, upto: int, by: str, run: int, now_ms: int, only: str | None = None, most: int = 1000
     ) -> Taken:
-        """Compare and set. The caller has looked at `streams` and `fenced`."""
+        """Change the owner of matching sessions. The caller has checked `streams` and `fenced`."""
         upto = upto or (self.seen.get(of, 0) if of != by else 0)
         # what may still be on its way is fenced with the rest
         self.fences[of] = max(upto, self.fences.get(of, 0))
@@ -102,7 +114,7 @@
             if of != by:
                 told = self.lost.setdefault(of, {})
                 told[set_up] = (now_ms, by)
-                while len(told) > MOST_TAKEN_TOLD:
+                while len(told) > MAX_REPORTED_LOSSES:
                     del told[next(iter(told))]
             self.sessions[set_up] = Owned(
                 by, run, owned.since_ms if of == by else now_ms, owned.term + 1, True
@@ -110,7 +122,7 @@
         return Taken(tuple(found[:most]), len(found) > most)
 
     def became(self, set_up: str, by: str) -> tuple[str, str]:
-        """What the box knows of a set-up, and whose it is; once its run is fenced, `never` is for good."""
+        """State and owner of a set-up. `never` is final once its run is fenced."""
         owned = self.sessions.get(set_up)
         if owned is not None:
             return ("yours" if owned.name == by else "other"), owned.name
--- a/foxlift/standins/takeovers.py
+++ b/foxlift/standins/takeovers.py
@@ -1,15 +1,64 @@
-"""What a media server answers to a takeover: the sessions that the asker owns now, and those that it lost."""
+"""Takeovers at a media server: who is alive, which sessions change owners, what the asker is answered."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
 
-from foxlift.boxes.notices import SessionEnded
-from foxlift.boxes.takeover import HeldSession, LostSession, TakeoverRequest, TakeoverResponse
+from foxlift.boxes.notices import OwnershipLost, SessionEnded
+from foxlift.boxes.takeover import (
+    MAX_SESSIONS_PER_RESPONSE,
+    HeldSession,
+    LostSession,
+    TakeoverRequest,
+    TakeoverResponse,
+)
 from foxlift.standins.model import BoxModel, BoxSession
+from foxlift.standins.notice_streams import NoticeStreams
 from foxlift.standins.owners import Owners
 
 
+def is_alive(order: TakeoverRequest, owners: Owners, now_ms: int) -> bool:
+    """Whether the former owner is heard from, in a later run or where the order is not `certain`."""
+    run = owners.streams.get(order.former_owner, 0)
+    if 0 < order.max_epoch < run:
+        return True
+    return not order.force and owners.hears_from(order.former_owner, order.max_epoch, now_ms)
+
+
+def take_over(
+    order: TakeoverRequest,
+    model: BoxModel,
+    owners: Owners,
+    streams: NoticeStreams,
+    now: float,
+    now_ms: int,
+) -> tuple[TakeoverResponse, OwnershipLost | None]:
+    """Change the owner of the sessions that an admitted order names; what the former owner is told, if any.
+
+    `now`: loop seconds, `now_ms`: Unix.
+    """
+    taken = owners.take(
+        order.former_owner,
+        order.max_epoch,
+        order.new_owner,
+        order.boot_epoch,
+        now_ms,
+        order.only_set_up,
+        MAX_SESSIONS_PER_RESPONSE,
+    )
+    for set_up in taken.set_ups:
+        session = held_session(model, set_up)
+        session.director = order.new_owner
+        session.told_ms = max(session.told_ms, now_ms)
+    model.counter += len(taken.set_ups)  # an earlier hello does not tell of them
+    streams.expect(order.new_owner)
+    lost = None
+    if taken.set_ups and order.former_owner != order.new_owner:
+        lost = OwnershipLost(taken.set_ups, order.new_owner, now_ms)
+    ends = streams.kept_ends(order.new_owner)
+    return make_answer(order, model, owners, ends, more=taken.more, now=now, now_ms=now_ms), lost
+
+
 def held_session(model: BoxModel, set_up: str) -> BoxSession:
     """A session that plays or is parked here. Raises KeyError where there is none."""
     found = model.sessions.get(set_up)
--- a/tests/recovery_world.py
+++ b/tests/recovery_world.py
@@ -204,7 +204,7 @@
 
     # ---- The box ------------------------------------------------------------------------------------------
     def set_up_comes(self, process: Process, claim: rc.Claim) -> None:
-        if self.owners.fenced(claim.owner, claim.boot_epoch):
+        if self.owners.fenced(claim.owner, claim.boot_epoch, self.now):
             return
         if self.asks_boot and claim.boot != str(self.boots):
             return
@@ -213,7 +213,7 @@
         def done() -> None:
             if boots != self.boots or claim.set_up in self.ran:
                 return
-            if self.done_looks_again and self.owners.fenced(claim.owner, claim.boot_epoch):
+            if self.done_looks_again and self.owners.fenced(claim.owner, claim.boot_epoch, self.now):
                 return
             self.ran.append(claim.set_up)
             self.owners.begin(claim.set_up, claim.owner, claim.boot_epoch, self.now)
@@ -225,7 +225,7 @@
         """The request may come from a process that has died since; `certain` is random."""
         owners = self.owners
         own = claim.owner == process.name
-        if owners.fenced(process.name, process.run) or (own and claim.boot_epoch >= process.run):
+        if owners.fenced(process.name, process.run, self.now) or (own and claim.boot_epoch >= process.run):
             return
         if not own and claim.owner in owners.streams and not self.any():
             return
