--- a/bench/ledger.py
+++ b/bench/ledger.py
@@ -15,7 +15,7 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-from foxlift.ledger import Ended, ForgetDue, Journal, Started, TimeCame
+from foxlift.ledger import Ended, ForgetDue, Journal, Started, TimePassed
 from foxlift.ledger.journal import SNAPSHOT
 from foxlift.ledger.reconcile import Reconciler
 from foxlift.ledger.records import Charged, Record, encode, link
@@ -91,7 +91,7 @@
         if k >= 500:
             journal.handle(now, Ended(now, f"d0.run-{k - 500}-0"))
         if k % 100 == 0:
-            journal.handle(now, TimeCame())
+            journal.handle(now, TimePassed())
             journal.handle(now, ForgetDue())
         if journal.snapshots != before or k % 25_000 == 0:
             taken.append((time.perf_counter() - start) * 1000)
--- a/bench/scale/hollow.py
+++ b/bench/scale/hollow.py
@@ -119,7 +119,7 @@
         """Never called."""
         raise NotImplementedError
 
-    def turn_down(self, request: int, why: RejectionReason, come_back_ms: float) -> None:
+    def refuse(self, request: int, why: RejectionReason, come_back_ms: float) -> None:
         """Never called."""
         raise NotImplementedError
 
--- a/bench/scale/storage_scans.py
+++ b/bench/scale/storage_scans.py
@@ -10,7 +10,7 @@
 from bench.scale.scan import CONTROL, LEDGER_EXPORT, REGISTER_HOLDERS, Scan
 from foxlift.consensus import Ballot, Record
 from foxlift.ledger.account import Account
-from foxlift.ledger.export import MOST
+from foxlift.ledger.export import MAX_BATCH_RECORDS
 from foxlift.ledger.journal import NAME, read_records
 from foxlift.ledger.records import EMPTY_CHAIN, Alive, Opened, encode, link
 from foxlift.recovery.register_store import RegisterStore
@@ -77,10 +77,10 @@
 def _reading_a_batch(records: int) -> Sample:
     """The last batch of a segment; the exporter reads it twice: for the content's hash and for the bytes."""
     files = log_of_records(records)
-    after = records - MOST
+    after = records - MAX_BATCH_RECORDS
 
     def read() -> None:
-        if len(list(islice(read_records(files, after), MOST))) != MOST:
+        if len(list(islice(read_records(files, after), MAX_BATCH_RECORDS))) != MAX_BATCH_RECORDS:
             raise RuntimeError("the log is shorter than it should be")
 
     return processor_ms(read, rounds=5)
--- a/bench/scale/worked_out.py
+++ b/bench/scale/worked_out.py
@@ -62,7 +62,7 @@
 
 def export_records_per_s() -> float:
     """One batch is cut at each tick of the exporter, however many records wait."""
-    return export.MOST / (LedgerConfig().export_every_ms / 1000)
+    return export.MAX_BATCH_RECORDS / (LedgerConfig().export_every_ms / 1000)
 
 
 def hellos_per_s() -> float:
@@ -119,7 +119,8 @@
             f"{descriptors_needed():,}", f"so that {plan.connections_per_director:,} connections are admitted"
         ),
         "export_records_per_s": WorkedOut(
-            f"{export_records_per_s():,.0f}/s", f"{export.MOST:,} records at each tick of the exporter"
+            f"{export_records_per_s():,.0f}/s",
+            f"{export.MAX_BATCH_RECORDS:,} records at each tick of the exporter",
         ),
         "export_mean_life": WorkedOut(
             f"{fewest_s / 60:.0f} min", "two records a session, all connections with a session each"
--- a/bench/takeover.py
+++ b/bench/takeover.py
@@ -79,7 +79,7 @@
 
         async def one(token: str) -> None:
             async with gate:
-                assert (await many.until_shown("d0", token, 120.0)).status == 200
+                assert (await many.request_until_answered("d0", token, 120.0)).status == 200
 
         await asyncio.gather(*map(one, tokens))
         begin = time.perf_counter()
@@ -93,7 +93,9 @@
 
         asking = asyncio.ensure_future(reload())
         await many.until(
-            lambda: any(line["peer"] == "d0" and line["state"] == "dead" for line in many.said("d1", "peer")),
+            lambda: any(
+                line["peer"] == "d0" and line["state"] == "dead" for line in many.log_lines("d1", "peer")
+            ),
             120.0,
         )
         found.append(time.perf_counter() - begin)
@@ -119,7 +121,7 @@
 
         async def set_up(token: str) -> None:
             async with gate:
-                assert (await many.until_shown("d0", token, MAX_WAIT_S)).status == 200
+                assert (await many.request_until_answered("d0", token, MAX_WAIT_S)).status == 200
 
         await asyncio.gather(*map(set_up, tokens))
         await many.kill("d0")
--- a/foxlift/cli/ledger.py
+++ b/foxlift/cli/ledger.py
@@ -29,7 +29,7 @@
     LedgerError,
     Linked,
     Tariff,
-    TimeCame,
+    TimePassed,
     Void,
     load_tariff,
     owed,
@@ -168,7 +168,7 @@
             files.lock()
             journal = Journal(files, tariff, int(config.ledger.grace_ms), on_failed=failed.append)
             now = int(time.time() * 1000)
-            journal.handle(now, TimeCame())
+            journal.handle(now, TimePassed())
             journal.handle(now, event)
             while journal.log.durable < journal.log.last_sequence and not failed:
                 await asyncio.sleep(0.005)
--- a/foxlift/director/cluster/forwarding.py
+++ b/foxlift/director/cluster/forwarding.py
@@ -84,7 +84,7 @@
             no_quorum=partial(tell, RouteOutcome.COME_BACK),
         )
         if not self._token_claims.query(token, expires, outcome):
-            self._host.turn_down(request, RejectionReason.MAY_HAVE_RUN, 0.0)
+            self._host.refuse(request, RejectionReason.MAY_HAVE_RUN, 0.0)
 
     def forward_to_any(self, request: int, token: str) -> bool:
         """Have another director answer a request, as this one is stopping."""
@@ -140,7 +140,7 @@
         self._context.counters.add("routed", tell.outcome.value)
         if tell.outcome in _REASONS:
             come_back_ms = tell.come_back_ms if tell.outcome is RouteOutcome.COME_BACK else 0.0
-            self._host.turn_down(tell.request, _REASONS[tell.outcome], come_back_ms)
+            self._host.refuse(tell.request, _REASONS[tell.outcome], come_back_ms)
             return
         viewer = self._host.forwardable(tell.request)
         if tell.outcome is RouteOutcome.OPEN and tell.replaces is not None and viewer is not None:
@@ -165,4 +165,4 @@
         elif self._routes.knows(request):
             self._handle(route.ForwardFailed(request))
         else:
-            self._host.turn_down(request, RejectionReason.OWNER_UNREACHABLE, self.come_back_ms())
+            self._host.refuse(request, RejectionReason.OWNER_UNREACHABLE, self.come_back_ms())
--- a/foxlift/director/cluster/host.py
+++ b/foxlift/director/cluster/host.py
@@ -150,7 +150,7 @@
         """See `Host`."""
         self.daemon.ask_core(request)
 
-    def turn_down(self, request: int, why: RejectionReason, come_back_ms: float) -> None:
+    def refuse(self, request: int, why: RejectionReason, come_back_ms: float) -> None:
         """See `Host`."""
         self.daemon.counters.add("turned down", why.value)
         self.daemon.answers.reject(request, why, come_back_ms)
@@ -186,8 +186,8 @@
         waited = (self.daemon.loop.time() - request.arrived_s) * 1000
         return max(waited, 0.0) + (float(before) if before.isdigit() and len(before) < 8 else 0.0)
 
-    def asked(self, number: int, passed: bool) -> bool:
-        """Whether the request's own hint names another owner, where it is routed to first."""
+    def route_by_hint(self, number: int, forwarded: bool) -> bool:
+        """Route a request to the owner that its hint names. False if it names none or this director."""
         held = self.daemon.answers.pending[number]
         hinted = (
             self.service.forwarder.read_hint(held.manifest_request.hint)
@@ -198,7 +198,7 @@
             return False
         if hinted.owner == self.daemon.config.name and hinted.boot_epoch == self.boot_epoch:
             return False
-        self.service.forwarder.resolve(number, hinted, hint=True, forwarded=passed)
+        self.service.forwarder.resolve(number, hinted, hint=True, forwarded=forwarded)
         return True
 
     def route(self, number: int, claim: Claim | None) -> None:
@@ -214,7 +214,7 @@
             return None
         held.lookups += 1
         if held.lookups > MAX_ROUTINGS:
-            self.turn_down(number, RejectionReason.MAY_HAVE_RUN, 0.0)
+            self.refuse(number, RejectionReason.MAY_HAVE_RUN, 0.0)
             return None
         return held
 
@@ -235,7 +235,7 @@
             case events.ForwardRequest(request, claim):
                 self.route(request, claim)
             case events.FindSession(request, token):
-                self.ask_about(request, token)
+                self.route_recovered(request, token)
             case events.FetchTakenOver(node):
                 self.service.fetch(self.box(node))
             case events.DropOwnership(set_up):
@@ -243,7 +243,7 @@
             case events.UpdateListedBoxes(boxes):
                 self.service.boxes_listed(boxes)
 
-    def ask_about(self, number: int, token: str) -> None:
+    def route_recovered(self, number: int, token: str) -> None:
         """A request whose token an earlier boot epoch had: ask its box, which knows more than the record."""
         known = self.daemon.intent_log.recovered.get(token)
         parts = known.set_up.rsplit("-", 2)[0].rpartition(".")[2] if known is not None else ""
--- a/foxlift/director/cluster/ports.py
+++ b/foxlift/director/cluster/ports.py
@@ -32,7 +32,7 @@
     def open_here(self, request: int) -> None:
         """Have the core answer the request."""
 
-    def turn_down(self, request: int, why: RejectionReason, come_back_ms: float) -> None:
+    def refuse(self, request: int, why: RejectionReason, come_back_ms: float) -> None:
         """Answer the request without a session. `come_back_ms` 0: without a time to come back."""
 
     def relay(self, request: int, answer: Response) -> None:
--- a/foxlift/director/core.py
+++ b/foxlift/director/core.py
@@ -138,7 +138,7 @@
                 self._token_session(ts.Restored(known.token, known.expires, played))
                 # the process may have died after the box's response and before the ledger recorded it
                 expiry_ms = int(known.expires * 1000)
-                ran = lg.Ran(
+                ran = lg.AttemptRecovered(
                     int(now), known.set_up, known.token, known.tenant, known.klass, not played, expiry_ms
                 )
                 self._actions.append(ev.WriteLedgerEntry(ran))
@@ -602,7 +602,9 @@
             # the box may have run it: it is charged once, and marked as estimated
             token = session.token
             expiry_ms = self._expiry_ms(token)
-            charge = lg.Ran(int(self._now), set_up, token.id, token.tenant, token.klass, True, expiry_ms)
+            charge = lg.AttemptRecovered(
+                int(self._now), set_up, token.id, token.tenant, token.klass, True, expiry_ms
+            )
             self._actions.append(ev.WriteLedgerEntry(charge))
         final = event.had_started or session.withdrawn
         if event.had_started or event.outcome is not fl.Outcome.OK:
@@ -711,7 +713,9 @@
                 if uplink is not None:
                     self._note(node, set_up, fl.NoteKind.UPLINK, uplink)
             case RungInForce(set_up, rung, at_ms):
-                self._actions.append(ev.WriteLedgerEntry(lg.Rerung(at_ms or int(self._now), set_up, rung)))
+                self._actions.append(
+                    ev.WriteLedgerEntry(lg.RungChanged(at_ms or int(self._now), set_up, rung))
+                )
                 self._note(node, set_up, fl.NoteKind.RUNG, float(rung))
             case SessionEnded(set_up, how, at_ms):
                 attempt = self.attempts.attempt_of(set_up)
--- a/foxlift/director/daemon.py
+++ b/foxlift/director/daemon.py
@@ -34,7 +34,7 @@
 from foxlift.director.server_pools import ServerPools
 from foxlift.director.timeline import Timeline
 from foxlift.http import Cors, Exchange, Limits, Server
-from foxlift.ledger import ForgetDue, Journal, TimeCame, load_tariff
+from foxlift.ledger import ForgetDue, Journal, TimePassed, load_tariff
 from foxlift.ledger.book import ALIVE_EVERY_MS
 from foxlift.logic import Director
 from foxlift.membership import Poll, PollDue
@@ -248,7 +248,7 @@
             self._disk.close()
 
     def _ledger_tick(self) -> None:
-        self.journal.handle(int(self.timeline.now()), TimeCame())
+        self.journal.handle(int(self.timeline.now()), TimePassed())
         self.journal.handle(int(self.timeline.now()), ForgetDue())
         self.timeline.later(float(ALIVE_EVERY_MS), self._ledger_tick)
 
@@ -303,7 +303,7 @@
             if not self.cluster.service.forwarder.forward_to_any(number, token.id):
                 self.answers.reject(number, RejectionReason.OWNER_UNREACHABLE)
             return
-        if self.cluster is None or not self.cluster.asked(number, forwarded):
+        if self.cluster is None or not self.cluster.route_by_hint(number, forwarded):
             self.ask_core(number)
 
     def ask_core(self, number: int) -> None:
--- a/foxlift/director/events.py
+++ b/foxlift/director/events.py
@@ -8,7 +8,7 @@
 from foxlift.catalogue import Title
 from foxlift.decide import attempts, links, token_sessions
 from foxlift.http import Headers
-from foxlift.ledger import Ended, Ran, Rerung, Started, TurnedAway
+from foxlift.ledger import AttemptRecovered, Ended, RungChanged, Started, TurnedAway
 from foxlift.membership import BoxList, ListFailed, ListReceived, Poll, PollDue
 from foxlift.recovery.claims import Claim
 from foxlift.store import IntentOutcome, RecoveredIntent
@@ -352,7 +352,7 @@
 class WriteLedgerEntry:
     """Write an event to the ledger."""
 
-    event: Started | Rerung | Ended | TurnedAway | Ran
+    event: Started | RungChanged | Ended | TurnedAway | AttemptRecovered
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxlift/ledger/__init__.py
+++ b/foxlift/ledger/__init__.py
@@ -2,16 +2,16 @@
 
 from foxlift.ledger.account import Account, Line, Owed, Use, owed
 from foxlift.ledger.book import (
+    AttemptRecovered,
     Book,
     Close,
     Correct,
     Ended,
     ForgetDue,
     LedgerError,
-    Ran,
-    Rerung,
+    RungChanged,
     Started,
-    TimeCame,
+    TimePassed,
     TurnedAway,
     Void,
 )
@@ -21,6 +21,7 @@
 
 __all__ = [
     "Account",
+    "AttemptRecovered",
     "Book",
     "Close",
     "Correct",
@@ -31,12 +32,11 @@
     "Line",
     "Linked",
     "Owed",
-    "Ran",
     "Record",
-    "Rerung",
+    "RungChanged",
     "Started",
     "Tariff",
-    "TimeCame",
+    "TimePassed",
     "TurnedAway",
     "Use",
     "Void",
--- a/foxlift/ledger/account.py
+++ b/foxlift/ledger/account.py
@@ -1,8 +1,8 @@
-"""From records to what is owed: use by period, tenant, class, rung and tariff version. No I/O, no clock.
+"""Usage and charges from records: by period, tenant, class, rung and tariff version. No I/O, no clock.
 
-An interval of play is cut where a period or a tariff version ends. Use whose period is closed by then becomes
-part of the period that is open (`late`): a closed period never changes. An attempt is charged once for each
-token, whatever the session numbers; the first record of it stands.
+An interval of play is split where a period or a tariff version ends. Usage of a period that is closed by then
+is booked in the next open one: a closed period never changes. An attempt is charged once for each token,
+whatever the session numbers; its first record counts.
 """
 
 from __future__ import annotations
@@ -31,7 +31,7 @@
 
 @dataclass(frozen=True, slots=True, order=True)
 class Line:
-    """What a total is kept for. `of`: the period in which it was used, where that was closed already."""
+    """Key of a total. `of`: the period of the usage, if that was closed and it is booked in a later one."""
 
     period: str
     tenant: str
@@ -53,7 +53,7 @@
 
 @dataclass(slots=True)
 class Open:
-    """A session that plays."""
+    """A playing session."""
 
     token: str
     tenant: str
@@ -67,7 +67,7 @@
 
 @dataclass(frozen=True, slots=True, order=True)
 class Play:
-    """A session from its start to its end, for merging; `viewer` as the ledger marks them, "" if unknown."""
+    """A whole session, for merging. `viewer`: its pseudonym, "" if unknown."""
 
     viewer: str
     begin: int
@@ -79,19 +79,19 @@
 
 @dataclass
 class Account:
-    """State of the ledger after some records."""
+    """State of the ledger after the records so far."""
 
     lines: dict[Line, Use] = field(default_factory=lambda: defaultdict(Use))
     counts: dict[tuple[str, str, str, str], int] = field(default_factory=lambda: defaultdict(int))
     open: dict[str, Open] = field(default_factory=dict)
-    charged: dict[str, int] = field(default_factory=dict)  # until when each token could start anything
-    forgot: int = 0  # tokens that ended by then are not in `charged` any more
+    charged: dict[str, int] = field(default_factory=dict)  # by token: when it expires for set-ups
+    forgot: int = 0  # tokens that expired by then are no longer in `charged`
     states: dict[str, str] = field(default_factory=dict)
     adjusted: dict[str, Adjusted] = field(default_factory=dict)
     voided: set[str] = field(default_factory=set)
     boundaries: Tariff | None = None
     last_at: int = 0
-    # for many instances at once: attempts go here instead of into a table that holds every token
+    # for merges of many instances: gets the attempts, which are then not kept in a table
     on_charge: Callable[[int, str, str, str, bool], None] | None = None
     on_play: Callable[[Play], None] | None = None
 
@@ -100,13 +100,13 @@
         return self.states.get(period, "open")
 
     def booked(self, period: str) -> str:
-        """The period that takes what was used in `period`: itself, or the first after it not closed."""
+        """The period in which usage of `period` is booked: itself, or the first later one not closed."""
         while self.state(period) == "closed":
             period = next_period(period)
         return period
 
     def apply(self, record: Record) -> None:
-        """Take one record in. Records that make no sense change nothing: a log is never edited, only read."""
+        """Apply one record. Inconsistent records are ignored, since a log is never edited."""
         self.last_at = max(self.last_at, record.at)
         match record:
             case Opened(_, at, session, token, tenant, klass, rung, paid, until, viewer):
@@ -132,13 +132,13 @@
                 self._charge(at, token, tenant, klass, estimated, 0 if until is UNSET else until)
             case Forgot(_, upto):
                 self.forgot = max(self.forgot, upto)
-                # a token of unknown end (0) is kept for good
+                # a token of unknown expiry (0) is kept forever
                 self.charged = {token: end for token, end in self.charged.items() if not 0 < end <= upto}
             case Counted(at, tenant, klass, what):
                 self.counts[self.booked(period_of(at)), tenant, klass, what] += 1
             case PeriodTurned(_, period, state):
                 if state == "closed":
-                    # what plays on across its end is booked up to there while the period still takes it
+                    # sessions that play past its end are booked up to there while the period is open
                     for session in sorted(self.open):
                         self._cut(session, period_start(next_period(period)), estimated=False)
                 self.states[period] = state
@@ -147,7 +147,7 @@
                 if record.void:
                     self.voided.add(record.corrects_entry)
             case _:
-                pass  # exports change nothing that is owed
+                pass  # exports change no charges
 
     def _charge(self, at: int, token: str, tenant: str, klass: str, estimated: bool, until: int) -> None:
         if self.on_charge is not None:
@@ -167,7 +167,7 @@
         return Line(booked, tenant, klass, rung, version, "" if booked == used else used)
 
     def _cut(self, session: str, at: int, estimated: bool) -> None:
-        """Book what was played up to a time. A clock that stepped back books nothing."""
+        """Book play up to a time; nothing if the clock has stepped back."""
         found = self.open.get(session)
         if found is None or at <= found.since:
             return
@@ -186,7 +186,7 @@
         found.since = found.known = at
 
     def recover(self) -> list[Closed]:
-        """What closes the sessions that a dead director left open: when they were last known to play."""
+        """Records that close the sessions left open by a dead director, when last known to play."""
         return [
             Closed(self.last_at, found.known, session, True) for session, found in sorted(self.open.items())
         ]
@@ -206,7 +206,7 @@
 
 
 def owed(account: Account, tariff: Tariff, tenant: str, period: str) -> list[Owed]:
-    """A statement's lines, in a fixed order. Hours are charged by the whole of a line, rounded down once."""
+    """A statement's lines in a fixed order. Hours are charged on a line's total, rounded down once."""
     found: list[Owed] = []
     for line in sorted(line for line in account.lines if (line.tenant, line.period) == (tenant, period)):
         use = account.lines[line]
--- a/foxlift/ledger/book.py
+++ b/foxlift/ledger/book.py
@@ -1,14 +1,13 @@
-"""The ledger's decisions: what is written down when something happens, and what is refused. No I/O, no clock.
+"""The ledger's decisions: the records of each event, and what is refused. No I/O, no clock.
 
-`handle(now_ms, event)` gives back the records to append, in order. A record counts once it is in the log; the
-book applies it at once, so that the next decision sees it.
+`handle(now_ms, event)` returns the records to append, in order. A record counts once it is in the log; the
+book applies it at once, so that the next decision includes it.
 
-    period     TimeCame, in a later period    closing    late records are still taken for the grace
-    closing    TimeCame, grace over           closed     nothing in it changes any more
+    period     TimePassed, in a later period  closing    late records are accepted for the grace period
+    closing    TimePassed, grace over         closed     nothing in it changes any more
     open       Close, by the operator         closing, closed
 
-Time in the ledger never steps back: what a clock tells earlier than the last record is taken for the last
-record's.
+Time in the ledger never steps back: a clock earlier than the last record counts as the time of that record.
 """
 
 from __future__ import annotations
@@ -36,22 +35,22 @@
 )
 from foxlift.ledger.tariff import Tariff, next_period, period_of, period_start
 
-ALIVE_EVERY_MS = 2000  # what is estimated after a death is short by at most this
-# A charged token is kept so long after it could start anything: an attempt that was out when it ended is over
-# by then, and a director that was down for less recalls what its death left unsaid.
+ALIVE_EVERY_MS = 2000  # upper bound of the error of estimates after a death
+# how long a charged token is kept after its expiry: attempts under way then have ended, and a director that
+# was down for less time still reports those of its earlier run
 KEEP_TOKENS_MS = 3_600_000
 FORGET_EVERY_MS = 600_000
 
 
 class LedgerError(ValueError):
-    """Something that the ledger does not do; says why."""
+    """The ledger refuses an operation, for this reason."""
 
 
 @dataclass(frozen=True, slots=True)
 class Started:
-    """A session's set-up is done and it plays. `when`: by its box's clock, as below.
+    """A session's set-up is done and it plays. `when`, here and below: by its box's clock, Unix ms.
 
-    `until`: when the token can start nothing any more, Unix ms; 0 where that is not known.
+    `until`: when the token expires for set-ups, Unix ms; 0 if unknown.
     """
 
     when: int
@@ -67,8 +66,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Rerung:
-    """A playing session's rung changed."""
+class RungChanged:
+    """The rung of a playing session has changed."""
 
     when: int
     session: str
@@ -77,7 +76,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Ended:
-    """A session is over. `estimated`: nobody saw its end."""
+    """A session has ended. `estimated`: its end was not seen."""
 
     when: int
     session: str
@@ -86,7 +85,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TurnedAway:
-    """A request was refused or failed."""
+    """A request was refused or has failed."""
 
     tenant: str
     klass: str
@@ -94,8 +93,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Ran:
-    """A paid set-up of an earlier run ran, as a box or the record of intents tells: charged once."""
+class AttemptRecovered:
+    """A paid set-up of an earlier run has run, by a box or the log of intents. It is charged once."""
 
     when: int
     session: str
@@ -107,13 +106,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TimeCame:
-    """Some time passed."""
+class TimePassed:
+    """Time has passed."""
 
 
 @dataclass(frozen=True, slots=True)
 class ForgetDue:
-    """Tokens long past may be forgotten. Told only once what an earlier run left in doubt was told (Ran)."""
+    """Expired tokens may be dropped. To be sent only after all `AttemptRecovered` events of earlier runs."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,7 +140,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Void:
-    """The operator takes an adjusting entry back, whole."""
+    """The operator voids an adjusting entry."""
 
     entry: str
     corrects: str
@@ -149,7 +148,18 @@
     why: str
 
 
-Event = Started | Rerung | Ended | TurnedAway | Ran | TimeCame | ForgetDue | Close | Correct | Void
+Event = (
+    Started
+    | RungChanged
+    | Ended
+    | TurnedAway
+    | AttemptRecovered
+    | TimePassed
+    | ForgetDue
+    | Close
+    | Correct
+    | Void
+)
 
 
 class Book:
@@ -160,24 +170,24 @@
         self.chain = EMPTY_CHAIN
         self._grace_ms = grace_ms
         self.alive_at = 0
-        self.seen: str = ""  # the period of the latest record
+        self.seen: str = ""  # period of the latest record
 
     def resume(self, chain: str, alive_at: int, seen: str) -> None:
-        """Go on behind a record of this chain, with the account filled from a snapshot."""
+        """Continue after the record with this chain; the account was filled from a snapshot."""
         self.chain, self.alive_at, self.seen = chain, alive_at, seen
 
     def replay(self, record: Record) -> str:
-        """Take in a record of the log, at the start; gives back the chain that it must have."""
+        """Replay a record of the log; returns the chain that it must have."""
         return self.write(record).chain
 
     def recover(self) -> list[Linked]:
-        """After the last record of an earlier run: close what it left open, as estimated."""
+        """Close, as estimated, the sessions that an earlier run left open."""
         return [self.write(record) for record in self.account.recover()]
 
     def handle(self, now_ms: int, event: Event) -> list[Linked]:
-        """The records of an event. Raises LedgerError for what the operator may not do: nothing is written.
+        """The records of an event. Raises LedgerError for an operation that is refused.
 
-        An operator's event is judged by the periods as they stand: tell TimeCame before it.
+        An operator's event is checked against the present state of the periods: send TimePassed before it.
         """
         now = max(now_ms, self.account.last_at)
         operators = isinstance(event, Close | Correct | Void)
@@ -185,7 +195,7 @@
         return written + [self.write(record) for record in self._records(now, event)]
 
     def write(self, record: Record) -> Linked:
-        """Put a record behind the chain and take it in."""
+        """Append a record to the chain and apply it."""
         linked = link(self.chain, record)
         self.chain = linked.chain
         self.account.apply(record)
@@ -212,19 +222,19 @@
                     event.box or UNSET,
                 )
                 return [made]
-            case Rerung(when, session, rung):
+            case RungChanged(when, session, rung):
                 found = account.open.get(session)
                 return [] if found is None or found.rung == rung else [Turned(now, when, session, rung)]
             case Ended(when, session, estimated):
                 return [Closed(now, when, session, estimated)] if session in account.open else []
             case TurnedAway(tenant, klass, what):
                 return [Counted(now, tenant, klass, what)]
-            case Ran(when, session, token, tenant, klass, estimated, until):
-                # what was forgotten had been charged, or was known never to have run, before it was forgotten
+            case AttemptRecovered(when, session, token, tenant, klass, estimated, until):
+                # a token is dropped only after it was charged or known never to have run
                 if token in account.charged or 0 < until <= account.forgot:
                     return []
                 return [Charged(now, when, session, token, tenant, klass, estimated, until or UNSET)]
-            case TimeCame():
+            case TimePassed():
                 return []
             case ForgetDue():
                 upto = now - KEEP_TOKENS_MS
@@ -256,7 +266,7 @@
             if state == "closing" and now >= ended + self._grace_ms:
                 records.append(PeriodTurned(now, period, "closed"))
             period = next_period(period)
-        # a period that was closing when a later one began is not the last one seen
+        # periods that were closing when a later one began are older than `seen`
         records += [
             PeriodTurned(now, old, "closed")
             for old, state in sorted(self.account.states.items())
--- a/foxlift/ledger/export.py
+++ b/foxlift/ledger/export.py
@@ -1,18 +1,18 @@
-"""Exports: every record to a receiver exactly once, in numbered batches, whatever is cut off and retried.
+"""Exports: each record reaches a receiver exactly once, in numbered batches, through failures and retries.
 
     state      event                      next       what is done
-    IDLE       Due, records not exported  CUTTING    write down what the next batch holds, and its hash
+    IDLE       Due, records not exported  CUTTING    record the range of the next batch and its hash
     CUTTING    Durable                    SENDING    deliver the batch
-    SENDING    Accepted, same hash        IDLE       write the acknowledgement down
-    SENDING    Accepted, other hash       STOPPED    the receiver holds something else under this number
+    SENDING    Accepted, same hash        IDLE       record the acknowledgement
+    SENDING    Accepted, other hash       STOPPED    the receiver has another batch of this number
     SENDING    Lost                       WAITING    deliver the same batch again after a wait that doubles
     WAITING    RetryDue                   SENDING    deliver it again: the same bytes under the same number
     any        FencedOff                  STOPPED    a later exporter has begun
 
-What is in a batch is decided once and written down before anything is sent, so that a retry after a crash is
-the same bytes under the same number, and a receiver tells a repetition by the number alone. Each exporter
-begins by writing a number of its own, higher than any before it; receivers refuse lower ones than they have
-seen.
+The content of a batch is recorded before it is sent, so that a retry after a crash sends the same bytes
+under the same number, and a receiver recognizes a repetition by the number alone. Each exporter begins by
+recording a number of its own, higher than any before it; receivers refuse exporters with lower numbers than
+they have seen.
 """
 
 from __future__ import annotations
@@ -25,9 +25,9 @@
 
 from foxlift.ledger.records import Acknowledged, Batched, Fenced, Linked, Record
 
-MOST = 1000  # records in a batch
+MAX_BATCH_RECORDS = 1000  # records in a batch
 RETRY_MS = 500.0
-RETRY_MAX = 64
+MAX_RETRY_FACTOR = 64
 
 
 class _State(Enum):
@@ -40,14 +40,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Due:
-    """It is time to export; `last` is the last durable record that is not of an export itself."""
+    """Export up to `last`, the last durable record that is not an export's."""
 
     last: int
 
 
 @dataclass(frozen=True, slots=True)
 class Durable:
-    """What the exporter wrote down lasts."""
+    """The record of the last `Write` is durable."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,7 +60,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Lost:
-    """No answer: it may have been received."""
+    """No answer; the batch may have been received."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,7 +100,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Stop:
-    """Nothing more is exported; says why."""
+    """Nothing more is exported, for this reason."""
 
     why: str
 
@@ -130,7 +130,7 @@
 
 
 def read_lines(data: bytes) -> list[tuple[int, Linked]]:
-    """The other way. Raises msgspec.MsgspecError for a line that is no record."""
+    """Decode a batch. Raises msgspec.MsgspecError for a line that is no record."""
     found = []
     for line in data.splitlines():
         row = msgspec.json.decode(line, type=_Row)
@@ -140,7 +140,7 @@
 
 @dataclass
 class Standing:
-    """Where exports stand, from the ledger's records: what was cut, and what is acknowledged."""
+    """State of the exports by the ledger's records: the pending batch, and what is acknowledged."""
 
     exporter: int = 0
     batch: int = 0
@@ -148,7 +148,7 @@
     pending: Batched | None = None
 
     def apply(self, record: Record) -> None:
-        """Take a record of the ledger in."""
+        """Apply a record of the ledger."""
         match record:
             case Fenced(_, exporter):
                 self.exporter = max(self.exporter, exporter)
@@ -164,7 +164,7 @@
 class Exporter:
     """Decides what is sent next."""
 
-    def __init__(self, standing: Standing, most: int = MOST) -> None:
+    def __init__(self, standing: Standing, most: int = MAX_BATCH_RECORDS) -> None:
         self._standing, self._most = standing, most
         self._state = _State.IDLE
         self._failures = 0
@@ -178,20 +178,20 @@
         return self._state is _State.STOPPED
 
     def begin(self, now: int) -> list[Action]:
-        """The exporter's own number goes into the ledger first; then what an earlier one left goes again."""
+        """Record this exporter's number; then a batch that an earlier exporter left pending is sent again."""
         self._state = _State.CUTTING
         self._next = self._standing.pending
         return [Write(Fenced(now, self.exporter))]
 
     def cut(self, last: int) -> tuple[int, int] | None:
-        """Which records the next batch would hold, where one can be cut now."""
+        """First and last record of the next batch, or None if none can be made now."""
         first = self._standing.last + 1
         if self._state is not _State.IDLE or last < first:
             return None
         return first, min(last, first + self._most - 1)
 
     def handle(self, now: int, event: Event, content: str = "") -> list[Action]:
-        """Take one event in; with Due, `content` is the hash of the records that `cut` named."""
+        """Handle one event. With Due, `content` is the hash of the records that `cut` returned."""
         match self._state, event:
             case _State.STOPPED, _:
                 return []
@@ -212,7 +212,7 @@
                 return self._deliver(self._next)
             case _State.SENDING, Lost():
                 self._state = _State.WAITING
-                wait = RETRY_MS * min(2**self._failures, RETRY_MAX)
+                wait = RETRY_MS * min(2**self._failures, MAX_RETRY_FACTOR)
                 self._failures += 1
                 return [RetryLater(wait)]
             case _State.WAITING, RetryDue() if self._next is not None:
--- a/foxlift/ledger/journal.py
+++ b/foxlift/ledger/journal.py
@@ -1,7 +1,7 @@
-"""The ledger on its log: every record of the book is appended, and a restart takes them in again.
+"""The ledger's log: each record of the book is appended, and a restart replays them.
 
-Every `snapshot_every` records the book is also written whole beside the log, once the log lasts up to there,
-so that a start reads only what came after. A snapshot that does not fit the log changes nothing but the time.
+Every `snapshot_every` records a snapshot of the book is written as well, once the log is durable up to there,
+so that a start replays only later records. A snapshot that does not match the log is ignored.
 """
 
 from __future__ import annotations
@@ -34,13 +34,13 @@
 
 
 def read_records(files: FilePort, after: int = 0) -> Iterator[tuple[int, Linked]]:
-    """Every record with its number, without opening the log for writing. Raises LogError."""
+    """All records with their numbers; the log is opened for reading only. Raises LogError."""
     for entry in read_log(files, NAME, after):
         yield entry.sequence, decode(entry.payload, entry.sequence)
 
 
 def read_account(files: FilePort, tariff: Tariff | None = None) -> Account:
-    """The account as the log shows it; for tools beside a running director. Raises LogError."""
+    """The account replayed from the log, for tools beside a running director. Raises LogError."""
     account = Account(boundaries=tariff)
     for _, linked in read_records(files):
         account.apply(linked.record)
@@ -48,7 +48,7 @@
 
 
 def verify(files: FilePort) -> int:
-    """How many records there are. Raises LogError at the first that does not follow from those before."""
+    """Check the hash chain; returns the number of records. Raises LogError at the first break."""
     count = 0
 
     def counted() -> Iterator[Linked]:
@@ -64,7 +64,7 @@
 
 
 class Journal:
-    """The book and its log. A record is in force at once and lasts with the next group."""
+    """The book and its log. A record counts at once and is durable with the next group commit."""
 
     def __init__(
         self,
@@ -76,21 +76,21 @@
         snapshot_every: int = SNAPSHOT_EVERY,
         keep_open: bool = False,
     ) -> None:
-        """Takes the log in and closes what an earlier run left open. Raises OSError and LogError.
+        """Replay the log and close sessions that an earlier run left open. Raises OSError and LogError.
 
-        `keep_open`: that may still play; what is not told to by then is closed by `close_left`.
+        `keep_open`: these may still play; `close_left` closes those that have not been reported until then.
         """
         self.book = Book(tariff, grace_ms)
-        self._on_failed, self._told = on_failed, False
-        # as the log tells; the exporter's own, `standing`, runs ahead of it and behind it
+        self._on_failed, self._failure_reported = on_failed, False
+        # by the records of the log; the exporter's own is `standing`
         self._logged = Standing()
-        self.last_billed = 0  # the last record that is not of an export itself
+        self.last_billed = 0  # number of the last record that is not an export's
         self._files, self._snapshot_every = files, snapshot_every
         self.snapshots = 0
         self._pending_snapshot: tuple[int, bytes] | None = None
         self.log = SegmentedLog(files, NAME, segment_bytes)
         snapshot = self._find_snapshot(tariff)
-        self.read_from = 0  # the record that the start stands on; 0: the log was read whole
+        self.read_from = 0  # number of the snapshot's last record; 0: the whole log was read
         if snapshot is not None:
             snapshot.fill(self.book)
             self._logged, self.last_billed = snapshot.standing(), snapshot.last_billed
@@ -104,14 +104,14 @@
             if chain != linked.chain:
                 raise LogError(f"ledger: record {number} does not follow from those before it")
         self.standing = replace(self._logged)
-        self._left: dict[str, int] = {}  # open when the earlier run died, and last known to play then
+        self._left: dict[str, int] = {}  # open at the end of the earlier run: when last known to play
         if keep_open:
             self._left = {session: found.known for session, found in self.book.account.open.items()}
         else:
             self._append(self.book.recover())
 
     def close_left(self) -> int:
-        """Close what the earlier run left open and nobody told of since, as estimated; how many were."""
+        """Close, as estimated, sessions left open that were not reported since; returns their number."""
         left, self._left = self._left, {}
         account = self.book.account
         closed = [
@@ -122,7 +122,7 @@
         return self._append(closed)
 
     def _find_snapshot(self, tariff: Tariff | None) -> Snapshot | None:
-        """The snapshot, where the log holds its record: a log brought back from yesterday does not."""
+        """The snapshot, if the log has its record: a log restored from a backup may not."""
         data = self._files.read(SNAPSHOT)
         if data is None:
             return None
@@ -136,8 +136,8 @@
             return found if linked.chain == found.chain else None
         return None
 
-    def _perhaps_snapshot(self) -> None:
-        """Take one when it is due; it is written only once the log lasts up to there."""
+    def _take_due_snapshot(self) -> None:
+        """Take a snapshot if it is due. It is written once the log is durable up to there."""
         if self.log.last_sequence - self._snapshot_at < self._snapshot_every:
             return
         number = self._snapshot_at = self.log.last_sequence
@@ -150,35 +150,35 @@
             return
         self._pending_snapshot = None
         self.snapshots += 1
-        # one that cannot be written is not missed: the next start reads more of the log
+        # without it, the next start reads more of the log
         self._files.replace_async(SNAPSHOT, pending[1], lambda error: None)
 
     def write(self, record: Record, done: Callable[[], None]) -> None:
-        """Append a record of the exports; `done` once it lasts, never where it may not."""
+        """Append a record of the exports. `done` is called once it is durable, never if writing failed."""
         linked = self.book.write(record)
         self._logged.apply(record)
         self.log.append(encode(linked), lambda error: done() if error is None else self._on_failed(error))
 
     def handle(self, now_ms: int, event: Event) -> int:
-        """Write down what an event means; gives back how many records. Raises LedgerError."""
+        """Append the records of an event; returns their number. Raises LedgerError."""
         if isinstance(event, Started):
-            self._left.pop(event.session, None)  # it plays on
+            self._left.pop(event.session, None)  # it is still playing
         return self._append(self.book.handle(now_ms, event))
 
     def _append(self, records: list[Linked]) -> int:
         for linked in records:
             self.last_billed = self.log.append(encode(linked), self._appended)
         if records:
-            self._perhaps_snapshot()
+            self._take_due_snapshot()
         return len(records)
 
     def _appended(self, error: OSError | None) -> None:
         if error is None and self._pending_snapshot is not None:
             self._write_snapshot()
-        if error is not None and not self._told:
-            self._told = True  # once: every later record of this process fails with it
+        if error is not None and not self._failure_reported:
+            self._failure_reported = True  # reported once: all later records fail, too
             self._on_failed(error)
 
     def close(self) -> None:
-        """Let go of the log."""
+        """Close the log."""
         self.log.close()
--- a/foxlift/ledger/reconcile.py
+++ b/foxlift/ledger/reconcile.py
@@ -1,15 +1,14 @@
-"""Merges what several instances wrote down: directors do not talk to one another, so this is where they meet.
+"""Merges the ledgers of several instances; an attempt that is in two of them is counted once.
 
-The same attempt may stand in two ledgers: a token that came to two directors, or one that its director could
-not see the end of. One record of it stands, by this rule: a certain one before an estimated one, then the
-earlier by its box's clock, then the instance whose name sorts first. The others are named.
+The same attempt may be in two ledgers: its token came to two directors, or its director did not see its end.
+One record is kept: a certain one before an estimated one, then the earlier one by its box's clock, then the
+one of the instance whose name sorts first. The others are reported.
 
-Named too, and left as they are: play of one viewer in two sessions at once, and clocks that are apart. A
-director writes down its own time beside that of the box; two directors that use the same boxes can so be
-compared without ever having met.
+Also reported, and not changed: overlapping sessions of one viewer, and clocks that differ. A director records
+its own time beside that of the box, so two directors that use the same boxes can be compared.
 
-Memory is bounded: attempts and plays are sorted on disk in runs of `most` and merged; of the rest only totals
-and the sessions open at once are held, an instance at a time.
+Memory is bounded: attempts and plays are sorted on disk in runs of `most` rows and merged; in memory are only
+totals and the open sessions of one instance at a time.
 """
 
 from __future__ import annotations
@@ -29,13 +28,13 @@
 from foxlift.ledger.records import Opened, Record
 from foxlift.ledger.tariff import period_of
 
-NAMED = 1000  # of each kind of finding so many are named one by one; all are counted
-CLOCKS_APART_MS = 2000
+MAX_LISTED_FINDINGS = 1000  # findings of each kind that are listed; all are counted
+MIN_REPORTED_DIFFERENCE_MS = 2000
 
 
 @dataclass(frozen=True, slots=True, order=True)
 class _Attempt:
-    """Sorts so that, of one token, the record that stands comes first."""
+    """Of one token, the record that is kept sorts first."""
 
     token: str
     estimated: bool
@@ -47,7 +46,7 @@
 
 @dataclass(frozen=True, slots=True, order=True)
 class _Played:
-    """Sorts so that the plays of one viewer come in the order in which they began."""
+    """Plays of one viewer sort by their beginning."""
 
     viewer: str
     begin: int
@@ -60,7 +59,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Duplicate:
-    """An attempt that two instances wrote down; `stands` is the instance whose record counts."""
+    """An attempt that two instances recorded; `stands` is the instance whose record is kept."""
 
     token: str
     stands: str
@@ -69,7 +68,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Overlap:
-    """One viewer in two sessions at once, for `ms`; `estimated` where an end was not seen."""
+    """Overlapping sessions of one viewer, for `ms`; `estimated`: an end was not seen."""
 
     viewer: str
     first: str
@@ -80,7 +79,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ClockApart:
-    """A director or a box whose clock differs from most others', by so many ms (above 0: ahead)."""
+    """A director or box whose clock differs from the median by `ms` (above 0: ahead)."""
 
     of: str
     ms: int
@@ -97,7 +96,7 @@
 
 @dataclass
 class Reconciled:
-    """Totals by period, tenant and class, and what did not fit together."""
+    """Totals by period, tenant and class, and findings."""
 
     totals: dict[tuple[str, str, str], Use] = field(default_factory=lambda: defaultdict(Use))
     counts: dict[tuple[str, str, str, str], int] = field(default_factory=lambda: defaultdict(int))
@@ -122,7 +121,7 @@
 
 
 class _Sorter(Generic[Row]):
-    """Rows in order, however many: held up to `most`, else on disk in sorted runs."""
+    """External merge sort: up to `most` rows in memory, the rest on disk in sorted runs."""
 
     def __init__(self, folder: Path, name: str, most: int, make: Callable[..., Row]) -> None:
         self._folder, self._name, self._most = folder, name, most
@@ -146,19 +145,19 @@
                 yield self._make(*json.loads(line))
 
     def merged(self) -> Iterator[Row]:
-        """All rows; the runs are taken away after the last one."""
+        """All rows in order; the runs are deleted after the last one."""
         yield from heapq.merge(sorted(self.held), *(self._run(path) for path in self._runs))
         for path in self._runs:
             path.unlink()
 
 
 class Reconciler:
-    """Takes instances one after another, each in the order of its records; runs go to `folder`."""
+    """Merges instances, added one after another, each in the order of its records; runs go to `folder`."""
 
     def __init__(self, folder: Path, most: int = 200_000) -> None:
         self._attempts: _Sorter[_Attempt] = _Sorter(folder, "attempts", most, _Attempt)
         self._plays: _Sorter[_Played] = _Sorter(folder, "plays", most, _Played)
-        # by director and box: the least that one clock was seen over the other
+        # by director and box: the least difference of their clocks, ms
         self._offsets: dict[tuple[str, str], int] = {}
         self.result = Reconciled()
 
@@ -168,9 +167,9 @@
         return len(self._attempts.held) + len(self._plays.held)
 
     def add(self, instance: str, records: Iterable[tuple[int, Record]], first: int = 1) -> None:
-        """Take in an instance's records with their numbers; repeats are passed over, gaps are named.
+        """Add an instance's records with their numbers; repeated ones are ignored, gaps are reported.
 
-        Raises ValueError for an instance that was taken in already: its play would count twice.
+        Raises ValueError for an instance that was added before: its play would count twice.
         """
         if instance in self.result.instances:
             raise ValueError(f"{instance}: given twice")
@@ -207,10 +206,10 @@
         self.result.still_open += len(account.open)
 
     def finish(self) -> Reconciled:
-        """Merge; each token counts once."""
+        """Merge all instances; each token counts once."""
         self._merge_attempts()
         self._find_overlaps()
-        self.result.clocks = _clocks_apart(self._offsets)
+        self.result.clocks = _differing_clocks(self._offsets)
         return self.result
 
     def _merge_attempts(self) -> None:
@@ -219,7 +218,7 @@
             if stands is not None and attempt.token == stands.token:
                 if attempt.instance != stands.instance:
                     self.result.duplicate_count += 1
-                    if len(self.result.duplicates) < NAMED:
+                    if len(self.result.duplicates) < MAX_LISTED_FINDINGS:
                         found = Duplicate(attempt.token, stands.instance, attempt.instance)
                         self.result.duplicates.append(found)
                 continue
@@ -229,7 +228,7 @@
             total.attempts_estimated += attempt.estimated
 
     def _find_overlaps(self) -> None:
-        """Against the play that reaches furthest so far: one long session overlaps every short one in it."""
+        """Compare each play with the one that ends last so far: it may overlap many shorter ones."""
         reach: _Played | None = None
         for play in self._plays.merged():
             if reach is None or reach.viewer != play.viewer:
@@ -238,7 +237,7 @@
             ms = min(reach.end, play.end) - play.begin
             if ms > 0:
                 self.result.overlap_count += 1
-                if len(self.result.overlaps) < NAMED:
+                if len(self.result.overlaps) < MAX_LISTED_FINDINGS:
                     estimated = reach.estimated or play.estimated
                     overlap = Overlap(play.viewer, reach.session, play.session, ms, estimated)
                     self.result.overlaps.append(overlap)
@@ -246,11 +245,11 @@
                 reach = play
 
 
-def _clocks_apart(offsets: dict[tuple[str, str], int]) -> list[ClockApart]:
-    """Who is apart from the median of all others, of directors first and then of boxes.
+def _differing_clocks(offsets: dict[tuple[str, str], int]) -> list[ClockApart]:
+    """Clocks that differ from the median, of directors first and then of boxes.
 
-    A record is written after the box's answer came, so the least difference seen is the clocks' own, give or
-    take a way through the network. Two directors alone cannot tell which of them is off: both are named.
+    A record is written after the box's answer has arrived, so the least difference is that of the clocks plus
+    a network delay. With two directors it is unknown which clock is wrong: both are reported.
     """
     by_box: dict[str, dict[str, int]] = defaultdict(dict)
     for (director, box), ms in offsets.items():
@@ -263,7 +262,9 @@
                 against[director].append(ms - middle)
     found: list[ClockApart] = []
     own = {director: round(median(differences)) for director, differences in against.items()}
-    found += [ClockApart(name, ms) for name, ms in sorted(own.items()) if abs(ms) >= CLOCKS_APART_MS]
+    found += [
+        ClockApart(name, ms) for name, ms in sorted(own.items()) if abs(ms) >= MIN_REPORTED_DIFFERENCE_MS
+    ]
     boxes: dict[str, float] = {
         box: median(own.get(director, 0) - ms for director, ms in seen.items())
         for box, seen in by_box.items()
@@ -271,12 +272,14 @@
     if len(boxes) > 2:
         middle = median(boxes.values())
         apart = {box: round(ms - middle) for box, ms in boxes.items()}
-        found += [ClockApart(box, ms) for box, ms in sorted(apart.items()) if abs(ms) >= CLOCKS_APART_MS]
+        found += [
+            ClockApart(box, ms) for box, ms in sorted(apart.items()) if abs(ms) >= MIN_REPORTED_DIFFERENCE_MS
+        ]
     return found
 
 
 def as_json(result: Reconciled) -> dict[str, Any]:
-    """The result as plain values, in a fixed order."""
+    """The result as JSON values, in a fixed order."""
     return {
         "totals": [
             {
--- a/foxlift/ledger/records.py
+++ b/foxlift/ledger/records.py
@@ -1,10 +1,10 @@
-"""What the ledger writes down. Times are whole Unix milliseconds, money whole millionths of a currency unit.
+"""Records of the ledger. Times are Unix milliseconds, amounts millionths of a currency unit, both integers.
 
-`at` is the ledger's own time, which never steps back; `when` is when a thing happened by the clock of the box
-that saw it. What is charged goes by `when`: a session's start, rungs and end are of one box, so of one clock.
+`at` is the ledger's own time, which never steps back; `when` is the time of the event by its box's clock.
+Charges use `when`: a session's start, rungs and end come from one box, so from one clock.
 
-Each record is kept as JSON with the chain over all records before it: a record that was changed, taken out or
-put in later is found and located, though whoever changed it mended the log's checksums.
+Each record is stored as JSON with a hash chain over all records before it. A record that was changed, removed
+or inserted later is found even if the log's checksums were adapted.
 """
 
 from __future__ import annotations
@@ -22,10 +22,10 @@
 
 
 class Opened(msgspec.Struct, frozen=True, tag="open"):
-    """A session plays from now on. `paid`: its set-up is an attempt that is charged, keyed by the token.
+    """A session begins to play. `paid`: its set-up is a charged attempt, identified by the token.
 
-    `until`: when the token can start nothing any more (Unix ms). `viewer` is a hash, never the token's own
-    word for them. A field that is not set leaves no byte, so that older records keep their chain.
+    `until`: when the token expires for set-ups, Unix ms. `viewer` is a hash, never the token's own name. A
+    field that is not set is not encoded, so that older records keep their chain.
     """
 
     at: Ms
@@ -51,7 +51,7 @@
 
 
 class Closed(msgspec.Struct, frozen=True, tag="close"):
-    """A session is over. `estimated`: nobody saw its end; `when` is the last that it was known to play."""
+    """A session has ended. `estimated`: its end was not seen; `when` is when it was last known to play."""
 
     at: Ms
     when: Ms
@@ -60,13 +60,13 @@
 
 
 class Alive(msgspec.Struct, frozen=True, tag="alive"):
-    """The director lives, and with it every open session: this bounds what is estimated after its death."""
+    """The director and its open sessions are alive: bounds the estimate after the director's death."""
 
     at: Ms
 
 
 class Charged(msgspec.Struct, frozen=True, tag="charge"):
-    """An attempt whose set-up was done, though its session was never seen to play (rebuilt after a death)."""
+    """An attempt whose set-up was done but whose session was not seen to play; rebuilt after a death."""
 
     at: Ms
     when: Ms
@@ -79,7 +79,7 @@
 
 
 class Forgot(msgspec.Struct, frozen=True, tag="forget"):
-    """Tokens that could start nothing any more by `upto` (Unix ms) are not kept as charged from here on."""
+    """Tokens that expired by `upto`, Unix ms, are no longer kept as charged."""
 
     at: Ms
     upto: Ms
@@ -95,7 +95,7 @@
 
 
 class PeriodTurned(msgspec.Struct, frozen=True, tag="period"):
-    """A period closes (late records are still taken) or is closed."""
+    """A period is closing (late records are still accepted) or closed."""
 
     at: Ms
     period: str
@@ -103,7 +103,7 @@
 
 
 class Adjusted(msgspec.Struct, frozen=True, tag="adjust"):
-    """An adjusting entry in an open period: what it corrects (a period, perhaps an entry), by whom, why."""
+    """An adjusting entry in an open period: what it corrects, the author and the reason."""
 
     at: Ms
     entry: str
@@ -121,7 +121,7 @@
 
 
 class Batched(msgspec.Struct, frozen=True, tag="batch"):
-    """An export batch was cut: these records, with this content. Written before the batch is sent."""
+    """Range and content hash of an export batch; recorded before the batch is sent."""
 
     at: Ms
     batch: int
@@ -138,7 +138,7 @@
 
 
 class Fenced(msgspec.Struct, frozen=True, tag="fence"):
-    """An exporter began: batches of an earlier one are refused from now on."""
+    """An exporter has begun: batches of earlier ones are refused from now on."""
 
     at: Ms
     exporter: int
@@ -170,7 +170,7 @@
 
 
 def link(before: str, record: Record) -> Linked:
-    """Put a record behind the chain so far."""
+    """Append a record to the chain."""
     body = msgspec.json.encode(record)
     return Linked(blake2b(before.encode() + body, digest_size=16).hexdigest(), record)
 
@@ -181,7 +181,7 @@
 
 
 def decode(payload: bytes, sequence: int) -> Linked:
-    """Raises LogError that names the record."""
+    """Decode the payload of a log entry. Raises LogError that names the record."""
     try:
         return msgspec.json.decode(payload, type=Linked)
     except msgspec.MsgspecError as error:
@@ -189,14 +189,14 @@
 
 
 def viewer_mark(viewer: str) -> str:
-    """What the ledger calls a viewer: enough to see that two sessions are of one, not who it is."""
+    """Pseudonym of a viewer: the same for all of its sessions, without identifying it."""
     return blake2b(viewer.encode(), digest_size=8).hexdigest()
 
 
 def find_break(linked: Iterable[Linked], chain: str = EMPTY_CHAIN, first: int = 1) -> int | None:
-    """Number of the first record that does not follow from those before it; None where all do.
+    """Number of the first record that breaks the chain, or None.
 
-    `chain` is that of the record before, `first` the number of the first one looked at.
+    `chain`: of the record before the first; `first`: number of the first record.
     """
     for number, found in enumerate(linked, first):
         chain = link(chain, found.record).chain
--- a/foxlift/ledger/snapshot.py
+++ b/foxlift/ledger/snapshot.py
@@ -1,8 +1,8 @@
-"""The book as it stood after some record, so that a start reads only what came later. No I/O.
+"""Snapshots of the book after a record, so that a start reads only later records. No I/O.
 
-A snapshot is a help and never a source: it counts only where the log holds the record that it names, with the
-chain that it names, and where the tariff cuts time as it did then. In every other case the log is read whole.
-Statements, `verify` and merging never use it.
+A snapshot is used only if the log has the record that it names, with the same hash chain, and if the tariff's
+versions begin at the same times as when it was taken. Otherwise the whole log is read. Statements, `verify`
+and merging never use it.
 """
 
 from __future__ import annotations
@@ -67,23 +67,23 @@
 
 
 class Snapshot:
-    """A snapshot that was read; `number` and `chain` name the record that it stands behind."""
+    """A decoded snapshot; `number` and `chain` name the last record that it includes."""
 
     def __init__(self, form: _Form) -> None:
         self._form = form
         self.number, self.chain, self.last_billed = form.number, form.chain, form.last_billed
 
     def fits(self, tariff: Tariff | None) -> bool:
-        """Whether the tariff cuts time as it did when this was taken."""
+        """Whether the tariff's versions begin at the same times as when the snapshot was taken."""
         return self._form.cuts == _cuts(tariff)
 
     def standing(self) -> Standing:
-        """Where the exports stood."""
+        """The state of the exports."""
         form = self._form
         return Standing(form.exporter, form.batch, form.exported, form.pending)
 
     def fill(self, book: Book) -> None:
-        """Put a new book where the old one stood."""
+        """Restore the state into a new book."""
         form, account = self._form, book.account
         for row in form.lines:
             line = Line(row.period, row.tenant, row.klass, row.rung, row.version, row.of)
@@ -106,7 +106,7 @@
 
 
 def encode_snapshot(book: Book, standing: Standing, number: int, last_billed: int) -> bytes:
-    """The bytes of a snapshot file, taken after record `number`."""
+    """Encode a snapshot file with all records up to `number`."""
     account: Account = book.account
     form = _Form(
         number=number,
@@ -150,7 +150,7 @@
 
 
 def read_snapshot(data: bytes, name: str) -> Snapshot:
-    """Raises LogError."""
+    """Decode a snapshot file. Raises LogError."""
     try:
         return Snapshot(msgspec.msgpack.decode(decode_checked_file(KIND, VERSION, data, name), type=_Form))
     except msgspec.MsgspecError as error:
--- a/foxlift/ledger/sources.py
+++ b/foxlift/ledger/sources.py
@@ -1,7 +1,7 @@
-"""Where merged records come from: a director's own log, or the batches that it exported.
+"""Reads the records to be merged from the batches that directors have exported.
 
-Directors share nothing, so a merge has only what each of them gave out. Batches come in any order, some
-twice, some not at all; each row carries the chain, which shows whether anything between two rows was changed.
+Directors share nothing, so a merge has only their exports. Batches may come in any order, repeated or not at
+all. Each row carries the hash chain, which shows whether anything between two rows was changed.
 """
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Missing:
-    """Batches that are not there, though later ones are."""
+    """Batches that are missing although later ones exist."""
 
     instance: str
     first: int
@@ -30,24 +30,24 @@
 
 @dataclass(frozen=True, slots=True)
 class Break:
-    """A record that does not follow from the one before it: changed, taken out or put in."""
+    """A record whose hash does not follow from the record before: one was changed, removed or inserted."""
 
     instance: str
     number: int
 
 
 def batches_of(names: Iterable[str]) -> dict[str, list[tuple[int, str]]]:
-    """Batch files by instance, in order of their numbers; other files are passed over."""
+    """Batch files by instance, in order of their numbers; other files are ignored."""
     found: dict[str, list[tuple[int, str]]] = {}
     for name in names:
-        matched = _BATCH.match(name)
-        if matched is not None:
-            found.setdefault(matched["ledger"], []).append((int(matched["batch"]), name))
+        match = _BATCH.match(name)
+        if match is not None:
+            found.setdefault(match["ledger"], []).append((int(match["batch"]), name))
     return {ledger: sorted(batches) for ledger, batches in sorted(found.items())}
 
 
 def missing_batches(instance: str, numbers: Iterable[int]) -> list[Missing]:
-    """Gaps in the numbers, from batch 1 on. What comes after the last batch nobody can know of."""
+    """Gaps in the numbers, from batch 1 on. Batches missing after the last one cannot be detected."""
     found, expected = [], 1
     for number in sorted(set(numbers)):
         if number > expected:
@@ -72,13 +72,13 @@
 
 @dataclass
 class Chained:
-    """Passes rows on as records and notes where the chain breaks."""
+    """Yields rows as records and collects breaks of the chain."""
 
     instance: str
     breaks: list[Break] = field(default_factory=list)
 
     def records(self, rows: Iterable[tuple[int, Linked]]) -> Iterator[tuple[int, Record]]:
-        """After a gap the chain is taken up again: what is missing is told by the gap."""
+        """The records with their numbers. After a gap the chain continues with the next row."""
         last, chain = 0, EMPTY_CHAIN
         for number, linked in rows:
             if number == last + 1 and link(chain, linked.record).chain != linked.chain:
--- a/foxlift/ledger/tariff.py
+++ b/foxlift/ledger/tariff.py
@@ -1,4 +1,4 @@
-"""Tariffs: what an attempt and an hour of play cost, in versions that hold from a date.
+"""Tariffs: prices of an attempt and of an hour of play, in versions that apply from a date.
 
     (tariff (currency "EUR")
       (versions
@@ -6,7 +6,7 @@
           (prices (price (class "graded-lesson") (attempt-micros 1500000))
                   (price (class "briefing-replay") (hour-micros 100000 200000 400000 800000))))))
 
-`hour-micros` has one price a rung; the last one holds for all rungs above. Dates begin at 00:00 UTC.
+`hour-micros` has one price a rung; the last one applies to all rungs above. Dates begin at 00:00 UTC.
 """
 
 from __future__ import annotations
@@ -62,20 +62,20 @@
             self._prices.append({price.klass: price for price in version.prices})
 
     def version(self, at_ms: int) -> int:
-        """Which version holds at a time; before the first one, the first."""
+        """The version that applies at a time; before the first one begins, the first."""
         return max(bisect_right(self._starts, at_ms) - 1, 0)
 
     def boundaries(self, first_ms: int, last_ms: int) -> list[int]:
-        """Times strictly between, at which another version begins to hold."""
+        """Times strictly between the two at which another version begins."""
         return [start for start in self._starts[1:] if first_ms < start < last_ms]
 
     def attempt(self, version: int, klass: str) -> int:
-        """Price of one attempt, micros."""
+        """Price of one attempt, millionths of the currency unit."""
         price = self._prices[version].get(klass)
         return 0 if price is None else price.attempt_micros
 
     def hour(self, version: int, klass: str, rung: int) -> int:
-        """Price of an hour at a rung, micros."""
+        """Price of an hour at a rung, millionths of the currency unit."""
         price = self._prices[version].get(klass)
         if price is None or not price.hour_micros:
             return 0
@@ -83,7 +83,7 @@
 
 
 def read_tariff(text: str, file: str) -> Tariff:
-    """Raises ConfigError."""
+    """Parse a tariff. Raises ConfigError."""
     return Tariff(bind(read_forms(text, file), _Tariff, "tariff"), SourcePosition(file, 1, 1))
 
 
@@ -114,6 +114,6 @@
 
 @lru_cache(maxsize=1000)
 def next_period(period: str) -> str:
-    """The period after."""
+    """The following period."""
     year, month = int(period[:4]), int(period[5:7])
     return f"{year + month // 12:04d}-{month % 12 + 1:02d}"
--- a/foxlift/rehearsal/billing.py
+++ b/foxlift/rehearsal/billing.py
@@ -1,9 +1,8 @@
-"""Holds the merged ledgers of a day against a count made from the taps alone.
+"""Compares the merged ledgers of a day with the use that the recorded traffic shows.
 
-The taps' side reads only what was on the sockets: a box's 201 and notices with the times that it stated. The
-ledgers' side is read after the day from each director's state folder. Every attempt that a box confirmed must
-be charged once in all ledgers together; every session whose end its director saw must have the same
-milliseconds on both sides.
+Of the traffic only the boxes' answers and notices count, with the times that they state. The ledgers are read
+after the day from each director's state folder. Every attempt that a box confirmed must be charged once in
+all ledgers together; every session whose end its director saw must have the same milliseconds on both sides.
 """
 
 from __future__ import annotations
@@ -12,27 +11,30 @@
 import json
 import tempfile
 from collections import defaultdict
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 from foxlift.ledger import Account, read_records
 from foxlift.ledger.export import read_lines
 from foxlift.ledger.reconcile import Reconciler
 from foxlift.ledger.records import Closed, Opened, Turned
 from foxlift.standins.checker import Checker
+from foxlift.standins.checker.messages import Exchange
 from foxlift.store import DiskFiles
 
 
 @dataclass
 class Billing:
-    """What was found; `differences` is empty where both sides agree."""
+    """The result of the comparison; without `differences` both sides agree."""
 
     attempts: int = 0
     attempts_estimated: int = 0
     attempts_on_taps: int = 0
     sessions: int = 0
     sessions_estimated: int = 0
-    unrecorded: int = 0  # free sessions whose director died before their record lasted: at no charge
+    unrecorded: int = 0  # free sessions whose director died before their record was on the disk: not charged
     ms: int = 0
     ms_on_taps: int = 0
     exported: int = 0
@@ -41,7 +43,7 @@
 
 @dataclass
 class _Interval:
-    """A session at one director, as its ledger has it; no end: it is open there still."""
+    """A session in the ledger of one director; without an end it is still open there."""
 
     begin: int
     end: int | None = None
@@ -50,65 +52,85 @@
 
 @dataclass
 class TapUse:
-    """Use as the sockets show it: by set-up, and the tokens of paid set-ups that a box confirmed.
+    """Use by the recorded traffic: times by set-up, and the tokens of paid set-ups that a box confirmed.
 
-    A set-up that was parked and taken up again began and ended several times.
+    A set-up that was parked and resumed began and ended several times.
     """
 
     began: dict[str, set[int]] = field(default_factory=lambda: defaultdict(set))
     ended: dict[str, set[int]] = field(default_factory=lambda: defaultdict(set))
-    taken: dict[str, set[int]] = field(default_factory=lambda: defaultdict(set))  # changed hands
-    turned: dict[str, set[int]] = field(default_factory=dict)  # times at which a box told a rung
+    taken: dict[str, set[int]] = field(default_factory=lambda: defaultdict(set))  # changed its owner
+    turned: dict[str, set[int]] = field(default_factory=dict)  # rung changes that a box reported
     paid: dict[str, str] = field(default_factory=dict)  # set-up to token
-    maybe: set[str] = field(default_factory=set)  # tokens of paid set-ups that left, whatever came back
+    sent: set[str] = field(default_factory=set)  # tokens of paid set-ups that were sent, whatever the answer
 
 
 def use_on_taps(checker: Checker) -> TapUse:
-    """Count from the traffic: answers to set-ups, and `ended` notices."""
+    """Use by the boxes' answers to set-ups and takeovers, and by their notices."""
     use = TapUse()
     for exchange in checker.exchanges:
-        parts = exchange.target.split("/")
         if not exchange.connection.tap.startswith("box:"):
             continue
-        whole = exchange.status == 200 and exchange.answer is not None and exchange.answer.whole
-        if exchange.target == "/takeovers" and whole and exchange.answer is not None:
-            answer = json.loads(exchange.answer.body)
-            for held in (*answer["sessions"], *answer["gone"]):
-                ended = held.get("by") == ""  # told to its owner's next run: nobody heard it then
-                (use.ended if ended else use.taken)[held["set-up"]].add(held["at"])
-            use.paid.update((h["set-up"], h["claim"]) for h in answer["sessions"] if h["paid"])
-        if exchange.method != "PUT":
-            continue
-        again = len(parts) == 4 and parts[3] == "resume"
-        if len(parts) != 3 and not again:
-            continue
-        order = json.loads(exchange.asked.body)
-        if not again and order["paid"]:
-            use.maybe.add(order["claim"])
-        if exchange.status in (200, 201) and exchange.answer is not None and exchange.answer.whole:
-            use.began[parts[2]].add(json.loads(exchange.answer.body)["at"])
-            if not again and order["paid"]:
-                use.paid[parts[2]] = order["claim"]
+        if exchange.target == "/takeovers":
+            _add_takeover(use, exchange)
+        elif exchange.method == "PUT":
+            _add_set_up(use, exchange)
     for connection in checker.connections.values():
         if connection.tap.startswith("box:"):
-            for event in bytes(connection.down.data).split(b"event: ended\ndata: ")[1:]:
-                found = json.loads(event.split(b"\n", 1)[0])
-                use.ended[found["session"]].add(found["at"])
-            for event in bytes(connection.down.data).split(b"event: hello\ndata: ")[1:]:
-                for found in json.loads(event.split(b"\n", 1)[0]).get("ended", ()):
-                    use.ended[found["session"]].add(found["at"])
-            for event in bytes(connection.down.data).split(b"event: rung\ndata: ")[1:]:
-                found = json.loads(event.split(b"\n", 1)[0])
-                use.turned.setdefault(found["session"], set()).add(found["at"])
-            for event in bytes(connection.down.data).split(b"event: taken\ndata: ")[1:]:
-                found = json.loads(event.split(b"\n", 1)[0])
-                for set_up in found["sessions"]:
-                    use.taken[set_up].add(found["at"])
+            _add_notices(use, bytes(connection.down.data))
     return use
 
 
-def hold_against(checker: Checker, states: list[Path]) -> Billing:
-    """Compare. Raises LogError where a ledger cannot be read."""
+def _add_takeover(use: TapUse, exchange: Exchange) -> None:
+    if exchange.status != 200 or exchange.answer is None or not exchange.answer.whole:
+        return
+    answer = json.loads(exchange.answer.body)
+    for held in (*answer["sessions"], *answer["gone"]):
+        ended = held.get("by") == ""  # reported to its owner's next run, as nobody received the notice
+        (use.ended if ended else use.taken)[held["set-up"]].add(held["at"])
+    use.paid.update((held["set-up"], held["claim"]) for held in answer["sessions"] if held["paid"])
+
+
+def _add_set_up(use: TapUse, exchange: Exchange) -> None:
+    """A set-up, `/sessions/{id}`, or one that is resumed."""
+    parts = exchange.target.split("/")
+    resumed = len(parts) == 4 and parts[3] == "resume"
+    if len(parts) != 3 and not resumed:
+        return
+    order = json.loads(exchange.asked.body)
+    paid = not resumed and order["paid"]
+    if paid:
+        use.sent.add(order["claim"])
+    if exchange.status in (200, 201) and exchange.answer is not None and exchange.answer.whole:
+        use.began[parts[2]].add(json.loads(exchange.answer.body)["at"])
+        if paid:
+            use.paid[parts[2]] = order["claim"]
+
+
+def _add_notices(use: TapUse, data: bytes) -> None:
+    for notice in _notices(data, "ended"):
+        use.ended[notice["session"]].add(notice["at"])
+    for notice in _notices(data, "hello"):
+        for ended in notice.get("ended", ()):
+            use.ended[ended["session"]].add(ended["at"])
+    for notice in _notices(data, "rung"):
+        use.turned.setdefault(notice["session"], set()).add(notice["at"])
+    for notice in _notices(data, "taken"):
+        for set_up in notice["sessions"]:
+            use.taken[set_up].add(notice["at"])
+
+
+def _notices(data: bytes, event: str) -> Iterator[dict[str, Any]]:
+    """The notices of one kind in what a connection carried to a director."""
+    for part in data.split(f"event: {event}\ndata: ".encode())[1:]:
+        yield json.loads(part.split(b"\n", 1)[0])
+
+
+def compare_ledgers(checker: Checker, states: list[Path]) -> Billing:
+    """Compare the recorded traffic with the ledgers in these state folders.
+
+    Raises LogError if a ledger cannot be read.
+    """
     use = use_on_taps(checker)
     billing = Billing(attempts_on_taps=len(set(use.paid.values())))
     played: dict[str, list[_Interval]] = defaultdict(list)
@@ -141,13 +163,13 @@
             billing.ms = sum(total.ms - total.ms_estimated for total in merged.totals.values())
 
     asyncio.run(read())
-    _attempts(billing, use, charged)
-    _play(billing, use, played, turned)
+    _compare_attempts(billing, use, charged)
+    _compare_sessions(billing, use, played, turned)
     return billing
 
 
 def check_exports(billing: Billing, pairs: list[tuple[Path, Path]]) -> None:
-    """Every record that a director exported is its ledger's, there once, none left out before the last."""
+    """Check that each director exported records of its ledger, each once and without a gap."""
 
     async def read(state: Path) -> dict[int, str]:
         files = DiskFiles(state, asyncio.get_running_loop())
@@ -169,7 +191,7 @@
                 break
 
 
-def _attempts(billing: Billing, use: TapUse, charged: dict[str, bool]) -> None:
+def _compare_attempts(billing: Billing, use: TapUse, charged: dict[str, bool]) -> None:
     if billing.attempts != len(charged):
         billing.differences.append(f"{billing.attempts} attempts merged, {len(charged)} tokens charged")
     for token in sorted(set(use.paid.values()) - set(charged)):
@@ -179,10 +201,10 @@
         billing.differences.append(f"{token}: charged as certain, and no box confirmed it")
 
 
-def _by_owner(use: TapUse, set_up: str, known: set[int]) -> tuple[list[int], list[int]]:
-    """Begins and ends of a session that changed hands: where one owner's interval ends the next one's begins.
+def _owners_intervals(use: TapUse, set_up: str, known: set[int]) -> tuple[list[int], list[int]]:
+    """Begins and ends of a session that changed owners: one owner's interval ends where the next begins.
 
-    An owner may have died before its record lasted: what no ledger began is not compared.
+    An owner may have died before its record was on the disk: what no ledger began is not compared.
     """
     moments = use.taken[set_up]
     begins = sorted((use.began[set_up] | moments) & known)
@@ -191,7 +213,9 @@
     return begins, [min(found, default=-1) for found in ends]
 
 
-def _play(billing: Billing, use: TapUse, played: dict[str, list[_Interval]], turned: dict[str, int]) -> None:
+def _compare_sessions(
+    billing: Billing, use: TapUse, played: dict[str, list[_Interval]], turned: dict[str, int]
+) -> None:
     billing.sessions = len(played)
     billing.unrecorded = sum(1 for set_up in use.began if set_up not in played and set_up not in use.paid)
     certain_ms = 0
@@ -199,11 +223,11 @@
         intervals.sort(key=lambda interval: interval.begin)
         begins, over = sorted(use.began.get(set_up, ())), sorted(use.ended.get(set_up, ()))
         if set_up in use.taken:
-            begins, over = _by_owner(use, set_up, {interval.begin for interval in intervals})
+            begins, over = _owners_intervals(use, set_up, {interval.begin for interval in intervals})
         for k, interval in enumerate(intervals):
             if interval.end is None or interval.estimated:
                 billing.sessions_estimated += 1
-                # the rungs that it left before were seen: up to the last change its play is certain
+                # its rungs before the last change were recorded: up to that change its play is certain
                 last = turned.get(set_up, 0)
                 if last > interval.begin and set_up not in use.taken:
                     if last not in use.turned.get(set_up, ()):
--- a/foxlift/rehearsal/day.py
+++ b/foxlift/rehearsal/day.py
@@ -1,4 +1,4 @@
-"""Runs a day: directors in processes of their own, a fleet in another, taps and players here."""
+"""Runs a rehearsal day: each director and the fleet in a process of its own, taps and players in this one."""
 
 from __future__ import annotations
 
@@ -13,49 +13,50 @@
 import msgspec
 
 from foxlift.rehearsal import files
-from foxlift.rehearsal.billing import Billing, check_exports, hold_against
+from foxlift.rehearsal.billing import Billing, check_exports, compare_ledgers
 from foxlift.rehearsal.crowd import draw_viewers
-from foxlift.rehearsal.faults import terms_of
+from foxlift.rehearsal.faults import conditions_of
 from foxlift.rehearsal.plans import Plans, read_plans
 from foxlift.rehearsal.processes import Child, ChildError
 from foxlift.rehearsal.scenario import LINK_FAULTS, Scenario, Step
 from foxlift.standins.checker import Checker, Verdict
-from foxlift.standins.player import Player, Viewer, Watching
+from foxlift.standins.link_direction import LinkConditions, LinkState
+from foxlift.standins.player import Player
 from foxlift.standins.tap import Recorder, Tap
-from foxlift.standins.ways import State, Terms
+from foxlift.standins.viewer import Viewer, ViewingRecord
 from foxlift.tokens import Issuer, SessionToken
 
-LOST = Terms(State.CUT)
-PATIENCE_S = 12.0  # after the day's end, for sessions that still play
+LOST = LinkConditions(LinkState.CUT)
+WAIT_TIMEOUT_S = 12.0  # for membership before the day, and for sessions still playing after it
 
 Progress = Callable[[float, str], None]
 
 
 @dataclass
 class DayResult:
-    """A day as it was."""
+    """The result of a day."""
 
     scenario: Scenario
     seed: int
     verdict: Verdict
-    watched: list[Watching] = field(default_factory=list)
+    watched: list[ViewingRecord] = field(default_factory=list)
     billing: Billing = field(default_factory=Billing)
     fallen: list[str] = field(default_factory=list)
     exits: dict[str, int] = field(default_factory=dict)
     plans: Plans | None = None
-    rolled: dict[str, int] = field(default_factory=dict)  # exit codes of those that were stopped on the way
+    rolled: dict[str, int] = field(default_factory=dict)  # exit codes in a rolling restart
     seconds: float = 0.0
 
     @property
     def kept(self) -> bool:
-        """Whether every rule was kept, the ledgers agree with the taps, every process ended as it should."""
+        """Whether every rule was kept, the ledgers agree with the taps and every process exited with 0."""
         agree = not self.billing.differences
         ended = not any(self.exits.values()) and not any(self.rolled.values())
         return not self.verdict.broken and agree and ended and not (self.plans and self.plans.differing)
 
     @property
     def stalled_s(self) -> float:
-        """Stalled time of all players, s."""
+        """Sum of all players' stalls, s."""
         return sum(watching.stalled_s for watching in self.watched)
 
 
@@ -68,18 +69,18 @@
         self.directors: list[Child] = []
         self.taps: list[Tap] = []
         self.front_taps: list[Tap] = []
-        self.links: dict[tuple[str, str], Tap] = {}  # director and what it talks to
+        self.links: dict[tuple[str, str], Tap] = {}  # by director and server, list or other director
         self.tasks: set[asyncio.Task[None]] = set()
-        self.watched: list[Watching] = []
+        self.watched: list[ViewingRecord] = []
         self.control = 0
         self.result = DayResult(scenario, seed, Verdict())
 
     def _tap(self, name: str, link: tuple[str, str] | None = None) -> Tap:
-        rest = Terms()
+        conditions = LinkConditions()
         if link and self.scenario.far_s and files.ends_apart(self.scenario, *link):
-            rest = Terms(delay_s=self.scenario.far_s)
-        picks = _is_control if link and not link[1].startswith("d") else _is_any
-        tap = Tap(name, self.recorder, self.loop, picks, rest)
+            conditions = LinkConditions(delay_s=self.scenario.far_s)
+        is_affected = _is_control if link and not link[1].startswith("d") else _is_any
+        tap = Tap(name, self.recorder, self.loop, is_affected, conditions)
         self.taps.append(tap)
         if link:
             self.links[link] = tap
@@ -91,7 +92,7 @@
         self.issuer = Issuer(keys, files.ISSUER, files.AUDIENCE)
         files.make_catalogue(self.folder / "catalogue", scenario)
         announce: list[dict[str, int]] = []
-        for k in range(scenario.boxes):  # a way of its own from each director to each box
+        for k in range(scenario.boxes):  # a tap for each director and box
             taps = {f"d{d}": self._tap(f"box:b{k}", (f"d{d}", f"b{k}")) for d in range(scenario.directors)}
             announce.append({name: await tap.listen() for name, tap in taps.items()})
         plan = files.fleet_plan(scenario, announce, self.seed)
@@ -119,7 +120,7 @@
             await asyncio.gather(*map(self._knows_all, self.directors))
 
     async def _peer_ports(self, name: str) -> dict[str, int]:
-        """A way of its own to each other director."""
+        """Listen on a tap for each other director; returns the ports by name."""
         others = [f"d{k}" for k in range(self.scenario.directors) if f"d{k}" != name]
         if not self.scenario.takeover:
             return {}
@@ -133,9 +134,9 @@
                 tap.target = int(ready["peers"])
 
     async def _knows_all(self, child: Child) -> None:
-        """The day begins once each director has heard from all others."""
+        """Wait until the director counts all others as alive."""
         wanted = {f"d{k}" for k in range(self.scenario.directors)} - {child.name}
-        end = self.loop.time() + PATIENCE_S
+        end = self.loop.time() + WAIT_TIMEOUT_S
         while self.loop.time() < end:
             lines = (self.folder / f"{child.name}.log").read_text().splitlines()
             found = [json.loads(line) for line in lines if '"event": "peer"' in line]
@@ -187,7 +188,7 @@
                 await self._command(step, value)
 
     async def _kill_at_random(self, step: Step) -> None:
-        """So many kills at moments of the seed's choosing, each director back after a second or two."""
+        """Kill directors at times drawn from the seed; each is started again after 0.5 to 1.5 s."""
         chance = random.Random(f"kills {self.seed}")
         moments = sorted(chance.uniform(0, step.for_s) for _ in range(int(step.value)))
         begin = self.loop.time()
@@ -202,7 +203,7 @@
             await self._start_director(number)
 
     async def _roll(self) -> None:
-        """Every director that runs is stopped in order and started again, one after another."""
+        """Rolling restart: stop each running director with SIGTERM and start it again, one after another."""
         for k, child in enumerate(self.directors):
             if child.process is None or child.process.returncode is not None:
                 continue
@@ -212,7 +213,7 @@
             await self._start_director(k)
 
     def _across(self, zone: str) -> list[Tap]:
-        """Every way between what lies in a zone and what does not; the list is in each."""
+        """The taps between a zone and the rest; the list is in every zone."""
         inside = {
             name: files.zone_of_end(self.scenario, name) == zone
             for pair in self.links
@@ -222,7 +223,7 @@
         return [tap for (one, end), tap in self.links.items() if end != "list" and inside[one] != inside[end]]
 
     async def _lose_zone(self, zone: str, lost: bool) -> None:
-        """All boxes and directors of a zone end at once, or come back; its boxes cold."""
+        """End all boxes and directors of a zone at once, or start them again; the boxes are then cold."""
         for k in range(self.scenario.boxes):
             if files.zone_of_end(self.scenario, f"b{k}") == zone:
                 await self._do(Step(0.0, "die" if lost else "return", f"b{k}"), 1.0)
@@ -231,7 +232,7 @@
         await asyncio.gather(*(self._do(step, 1.0) for step in steps))
 
     async def _order_zone(self, zone: str, order: str) -> None:
-        """An operator's order, to the first director that has a peers' listener."""
+        """Send an operator's order to the first director that has a peers' listener."""
         self.recorder.mark("order-zone", zone=zone, order=order)
         port = next(tap.target for (_, end), tap in self.links.items() if end.startswith("d") and tap.target)
         await self._post(json.dumps({"zone": zone, "order": order}).encode(), port, "/peers/order")
@@ -242,16 +243,16 @@
         return [self.links[pair] for pair in pairs]
 
     async def _on_links(self, step: Step) -> None:
-        """A later fault on the same link takes the place of an earlier one."""
+        """Apply a fault to a link; it replaces an earlier one there."""
         self.recorder.mark(step.do, link=step.on, value=step.value)
-        link, terms = self.scenario.link(step), terms_of(step)
+        link, conditions = self.scenario.link(step), conditions_of(step)
         for tap in self._taps_of(step):
             if step.do == "reset":
                 tap.reset()
             elif step.do == "refuse":
                 tap.refuse()
             else:
-                tap.change(terms if link.up else None, terms if link.down else None)
+                tap.change(conditions if link.up else None, conditions if link.down else None)
 
     async def _undo(self, step: Step) -> None:
         if step.do in LINK_FAULTS:
@@ -321,9 +322,9 @@
         await asyncio.sleep(viewer.at_s)
         ports = [tap.port for tap in self.front_taps]
         player = Player(
-            viewer, ports, first, self._new_token, self.chance.random, faithful=self.scenario.faithful
+            viewer, ports, first, self._new_token, self.chance.random, keeps_token=self.scenario.faithful
         )
-        self.watched.append(player.watching)
+        self.watched.append(player.record)
         await player.run()
 
     async def run(self) -> None:
@@ -333,7 +334,7 @@
         steps = [self.loop.create_task(self._timed(step)) for step in self.scenario.steps]
         await asyncio.sleep(self.scenario.seconds)
         self.progress(self.scenario.seconds, "the last sessions play out")
-        await asyncio.wait(players, timeout=PATIENCE_S)
+        await asyncio.wait(players, timeout=WAIT_TIMEOUT_S)
         for task in (*players, *steps):
             task.cancel()
         for outcome in await asyncio.gather(*players, *steps, return_exceptions=True):
@@ -364,7 +365,7 @@
 
 
 def _is_control(first: bytes) -> bool:
-    """Whether a connection's first bytes are a director's, and not a viewer's."""
+    """Whether a connection's first bytes are sent by a director rather than a viewer."""
     target = first.split(b" ", 2)[1:2]
     return not target or target[0].startswith((b"/sessions", b"/notices", b"/v3/"))
 
@@ -394,7 +395,7 @@
 
     def judge() -> tuple[Verdict, Billing]:
         checker = Checker(folder / "taps.bin", files.terms_of(scenario))
-        billing = hold_against(checker, states)
+        billing = compare_ledgers(checker, states)
         if scenario.exports:
             check_exports(billing, [(state, folder / f"export-{state.name[6:]}") for state in states])
         return checker.judge(), billing
--- a/foxlift/rehearsal/faults.py
+++ b/foxlift/rehearsal/faults.py
@@ -1,6 +1,6 @@
-"""Faults of a rehearsal: what a step does to a link, faults drawn from a seed, the least script that breaks.
+"""Faults of a rehearsal: effect of a step on a link, faults drawn from a seed, reduction of a failing script.
 
-Players are no end of a link: faults touch what directors say to boxes and to the list. No I/O.
+Faults apply to links between directors, boxes and the list, never to those of players. No I/O.
 """
 
 from __future__ import annotations
@@ -11,99 +11,99 @@
 import msgspec
 
 from foxlift.rehearsal.scenario import LINK_FAULTS, Scenario, Step
-from foxlift.standins import ways
+from foxlift.standins import link_direction
 
-Part = tuple[int, ...]  # of a script, by number
-LEAST_S, MOST_S = 0.3, 4.0  # how long a drawn fault lasts
+Selection = tuple[int, ...]  # numbers of steps
+MIN_DURATION_S, MAX_DURATION_S = 0.3, 4.0  # of a drawn fault
 KINDS = ("kill", "stall", "die", *LINK_FAULTS)
 
 
-def terms_of(step: Step) -> ways.Terms:
-    """What a direction does to bytes while the step lasts; as ever for those that act once."""
+def conditions_of(step: Step) -> link_direction.LinkConditions:
+    """The conditions of a direction during the step; without a fault if the step acts only once."""
     match step.do:
         case "cut":
-            return ways.Terms(ways.State.CUT)
+            return link_direction.LinkConditions(link_direction.LinkState.CUT)
         case "hold":
-            return ways.Terms(ways.State.HELD)
+            return link_direction.LinkConditions(link_direction.LinkState.HELD)
         case "delay":
-            return ways.Terms(delay_s=step.value)
+            return link_direction.LinkConditions(delay_s=step.value)
         case "slow":
-            return ways.Terms(rate=max(step.value, 1.0))
+            return link_direction.LinkConditions(rate=max(step.value, 1.0))
         case "break":
-            return ways.Terms(break_after=int(step.value))
-    return ways.Terms()
+            return link_direction.LinkConditions(break_after=int(step.value))
+    return link_direction.LinkConditions()
 
 
 def draw_faults(scenario: Scenario, seed: int, count: int) -> tuple[Step, ...]:
-    """So many faults over the middle of the day, each undone before its end; the same ones for a seed.
+    """Draw `count` faults within the middle of the day, each ended before the day is; the same for a seed.
 
-    No director and no box is struck twice at a time, and one director is left alone at any moment: what
-    is to be seen is faults meeting, not a fleet that is not there.
+    No director and no box has two faults of its own at a time, and at least one director has none: the days
+    are for combinations of faults, not for a fleet that is down.
     """
-    chance = random.Random(f"faults {scenario.name} {seed}")
+    rng = random.Random(f"faults {scenario.name} {seed}")
     busy: list[tuple[float, float, str]] = []
     steps: list[Step] = []
-    tries = 0
-    while len(steps) < count and tries < 50 * count:
-        tries += 1
-        step = _draw(scenario, chance)
+    draws = 0
+    while len(steps) < count and draws < 50 * count:
+        draws += 1
+        step = _draw(scenario, rng)
         until = step.at_s + step.for_s
-        struck = step.on if step.do in ("kill", "stall", "die") else ""
-        meets = [name for begin, end, name in busy if begin < until + 1.0 and step.at_s < end + 1.0]
-        down = {name for name in meets if name.startswith("d")}
-        if struck in meets or (struck.startswith("d") and len(down) + 2 > scenario.directors):
+        target = step.on if step.do in ("kill", "stall", "die") else ""
+        overlapping = [name for begin, end, name in busy if begin < until + 1.0 and step.at_s < end + 1.0]
+        down = {name for name in overlapping if name.startswith("d")}
+        if target in overlapping or (target.startswith("d") and len(down) + 2 > scenario.directors):
             continue
-        if struck:
-            busy.append((step.at_s, until, struck))
+        if target:
+            busy.append((step.at_s, until, target))
         steps.append(step)
     return tuple(sorted(steps, key=lambda step: step.at_s))
 
 
-def _draw(scenario: Scenario, chance: random.Random) -> Step:
-    do = chance.choice(KINDS)
-    lasts = round(chance.uniform(LEAST_S, min(MOST_S, scenario.seconds / 4)), 2)
-    at = round(chance.uniform(scenario.seconds * 0.1, scenario.seconds * 0.85 - lasts), 2)
-    director, box = f"d{chance.randrange(scenario.directors)}", f"b{chance.randrange(scenario.boxes)}"
+def _draw(scenario: Scenario, rng: random.Random) -> Step:
+    do = rng.choice(KINDS)
+    duration_s = round(rng.uniform(MIN_DURATION_S, min(MAX_DURATION_S, scenario.seconds / 4)), 2)
+    at = round(rng.uniform(scenario.seconds * 0.1, scenario.seconds * 0.85 - duration_s), 2)
+    director, box = f"d{rng.randrange(scenario.directors)}", f"b{rng.randrange(scenario.boxes)}"
     if do in ("kill", "stall"):
-        return Step(at, do, director, for_s=lasts)  # type: ignore[arg-type]
+        return Step(at, do, director, for_s=duration_s)  # type: ignore[arg-type]
     if do == "die":
-        return Step(at, "die", box, for_s=lasts)
+        return Step(at, "die", box, for_s=duration_s)
     others = [f"d{k}" for k in range(scenario.directors) if f"d{k}" != director] if scenario.takeover else []
-    ends = [box, box, "list", "boxes", *(["directors", chance.choice(others)] if others else [])]
-    end = "list" if do == "refuse" else chance.choice(ends)
-    link = f"{director}{chance.choice('-<>')}{end}"
-    value = {"delay": chance.choice([0.1, 0.5, 2.0]), "slow": 2000.0, "break": float(chance.randrange(400))}
-    return Step(at, do, link, value.get(do, 1.0), lasts)  # type: ignore[arg-type]
+    ends = [box, box, "list", "boxes", *(["directors", rng.choice(others)] if others else [])]
+    end = "list" if do == "refuse" else rng.choice(ends)
+    link = f"{director}{rng.choice('-<>')}{end}"
+    value = {"delay": rng.choice([0.1, 0.5, 2.0]), "slow": 2000.0, "break": float(rng.randrange(400))}
+    return Step(at, do, link, value.get(do, 1.0), duration_s)  # type: ignore[arg-type]
 
 
-async def shrink(steps: Part, breaks: Callable[[Part], Awaitable[bool]], most: int) -> Part:
-    """A smaller script that still breaks, by leaving out ever smaller parts (delta debugging, Zeller 1999).
+async def shrink(steps: Selection, breaks: Callable[[Selection], Awaitable[bool]], most: int) -> Selection:
+    """A smaller script that still fails: delta debugging (Zeller 1999).
 
-    `most` bounds how often a script is played. What is given back has been seen to break, or is `steps`.
+    At most `most` scripts are played. The result has been seen to fail, or is `steps`.
     """
-    parts, played = 2, 0
+    chunk_count, played = 2, 0
     while len(steps) >= 2 and played < most:
-        size = -(-len(steps) // parts)
-        pieces = [steps[k : k + size] for k in range(0, len(steps), size)]
-        for k, _ in enumerate(pieces):
-            rest = tuple(step for j, piece in enumerate(pieces) if j != k for step in piece)
+        size = -(-len(steps) // chunk_count)
+        chunks = [steps[k : k + size] for k in range(0, len(steps), size)]
+        for k, _ in enumerate(chunks):
+            rest = tuple(step for j, chunk in enumerate(chunks) if j != k for step in chunk)
             if played >= most:
                 return steps
             played += 1
             if rest and await breaks(rest):
-                steps, parts = rest, max(parts - 1, 2)
+                steps, chunk_count = rest, max(chunk_count - 1, 2)
                 break
         else:
             if size == 1:
                 return steps
-            parts = min(parts * 2, len(steps))
+            chunk_count = min(chunk_count * 2, len(steps))
     return steps
 
 
-def with_faults(scenario: Scenario, seed: int, count: int, only: Part | None = None) -> Scenario:
-    """The day with drawn faults in place of its script, or with some of them, counted from 0.
+def with_faults(scenario: Scenario, seed: int, count: int, only: Selection | None = None) -> Scenario:
+    """The day with drawn faults in place of its script; `only`: with these of them, counted from 0.
 
-    Raises ValueError where `only` names none of them.
+    Raises ValueError if `only` has a number that none of them has.
     """
     steps = draw_faults(scenario, seed, count)
     if only is not None:
--- a/foxlift/rehearsal/plans.py
+++ b/foxlift/rehearsal/plans.py
@@ -1,4 +1,4 @@
-"""The plans that directors followed, as their logs tell: one a number, and how long they were apart."""
+"""Reads from directors' logs which zone plans they followed, and how long two plans were in use at once."""
 
 from __future__ import annotations
 
@@ -10,26 +10,29 @@
 
 @dataclass
 class Plans:
-    """`differing`: numbers of which two directors had different plans. `late_s`: from the first that followed
-    a plan to the last that did before a later one came, the longest of all plans."""
+    """The plans of a day.
+
+    `differing`: numbers for which two directors had different plans. `late_s`: the longest time from the
+    first director that followed a plan to the last one before a later plan was in use.
+    """
 
     numbers: int = 0
     differing: list[int] = field(default_factory=list)
     late_s: float = 0.0
-    states: dict[str, int] = field(default_factory=dict)  # how many plans had a zone in a state
+    states: dict[str, int] = field(default_factory=dict)  # number of plans that had a zone in the state
 
 
 def read_plans(logs: list[Path]) -> Plans:
-    """Read what directors said of plans; one that fell back to its own sight follows none."""
+    """Read the plans from logs. A director that fell back to its own observations follows none."""
     by_number: dict[int, dict[str, list[float]]] = {}
     for log in logs:
         for line in log.read_text(errors="replace").splitlines():
             if '"event": "plan"' not in line:
                 continue
-            said = json.loads(line)
-            at = datetime.fromisoformat(said["timestamp"]).timestamp()
-            text = json.dumps(said["zones"], sort_keys=True)
-            by_number.setdefault(said["number"], {}).setdefault(text, []).append(at)
+            entry = json.loads(line)
+            at = datetime.fromisoformat(entry["timestamp"]).timestamp()
+            text = json.dumps(entry["zones"], sort_keys=True)
+            by_number.setdefault(entry["number"], {}).setdefault(text, []).append(at)
     found = Plans(len(by_number))
     firsts = {number: min(min(times) for times in texts.values()) for number, texts in by_number.items()}
     for number, texts in by_number.items():
--- a/foxlift/rehearsal/report.py
+++ b/foxlift/rehearsal/report.py
@@ -48,7 +48,7 @@
         "taken_over": verdict.taken_over,
         "refused_commands": verdict.refused_commands,
         "spent": verdict.spent,
-        "ways_back": sum(w.ways_back for w in result.watched),
+        "ways_back": sum(w.fallbacks for w in result.watched),
         "switches": sum(w.switches for w in result.watched),
         "stalls": sum(w.stalls for w in result.watched),
         "stalled_s": round(result.stalled_s, 2),
--- a/foxlift/standins/held_port.py
+++ b/foxlift/standins/held_port.py
@@ -1,8 +1,8 @@
-"""A loopback port that stays its owner's whether a listener is there or not.
+"""A loopback port that is reserved whether or not a listener uses it.
 
-A port that is found and let go, or closed and bound again later, may be taken meanwhile by another listener
-or by an outgoing connection of any process. A held port is bound and never listens: connections are refused
-as if nobody were there, and a listener with SO_REUSEADDR (asyncio and uvloop set it) can bind the same port.
+A free port that is looked up and released may be taken by another listener or by an outgoing connection of
+any process before it is bound again. A held port is bound and never listens: connections are refused, and a
+listener with SO_REUSEADDR (asyncio and uvloop set it) can bind the same port.
 """
 
 from __future__ import annotations
@@ -13,21 +13,22 @@
 
 
 class HeldPort:
-    """Keeps a port bound until `release`, or until nobody refers to it. Raises OSError where it is in use."""
+    """Keeps a port bound until `release` or garbage collection. Raises OSError if it is in use."""
 
     def __init__(self, port: int = 0, host: str = "127.0.0.1") -> None:
-        holder = socket.socket()
-        self._finalizer = weakref.finalize(self, holder.close)
+        reserving_socket = socket.socket()
+        self._finalizer = weakref.finalize(self, reserving_socket.close)
         try:
-            holder.bind((host, port))  # without SO_REUSEADDR: it fails beside any other socket of that port
-            holder.setsockopt(
+            # without SO_REUSEADDR it fails if any other socket has the port
+            reserving_socket.bind((host, port))
+            reserving_socket.setsockopt(
                 socket.SOL_SOCKET, socket.SO_REUSEADDR, 1
-            )  # from here on a listener may bind it
+            )  # a listener may bind it now
         except OSError:
-            holder.close()
+            reserving_socket.close()
             raise
-        self.port = cast(int, holder.getsockname()[1])
+        self.port = cast(int, reserving_socket.getsockname()[1])
 
     def release(self) -> None:
-        """Let the port go; a second call does nothing."""
+        """Release the port; a second call does nothing."""
         self._finalizer()
--- a/foxlift/standins/tap.py
+++ b/foxlift/standins/tap.py
@@ -1,13 +1,13 @@
-"""A tap: a loopback relay that writes down every byte it passes on, with faults between the two on command.
+"""A tap: a loopback relay that records every byte it forwards, with faults on command.
 
 A record is one line of JSON, then the bytes: {"t": loop seconds, "tap": name, "c": connection, "k": kind,
-"n": length}. Kinds: `open`, `up` (from the asking side), `down` (from the answering side), `shut` (with `by`:
-the side that ended it) and `mark` (with `text`: what the rehearsal itself did). Bytes are written down when
-they are passed on: what a fault keeps or loses was never on the other's socket.
+"n": length}. Kinds: `open`, `up` (from the client), `down` (from the server), `shut` (with `by`: the side
+that ended it) and `mark` (with `text`: an action of the rehearsal). Bytes are recorded when they are
+forwarded: what a fault holds back or loses never reached the other's socket.
 
-What each direction does to bytes is `foxlift.standins.ways`. A cut link still lets a connection be made as
-far as this relay, for on loopback the kernel answers for the listener: the asking side sees a connection that
-never says anything, as it would behind a wall that drops what passes.
+What each direction does with bytes is `foxlift.standins.link_direction`. On a cut link a client can still
+connect to this relay, because on loopback the kernel answers for the listener. It receives nothing, as behind
+a firewall that drops packets.
 """
 
 from __future__ import annotations
@@ -21,24 +21,24 @@
 from pathlib import Path
 from typing import Any, BinaryIO, cast
 
-from foxlift.standins import ways
+from foxlift.standins import link_direction
 from foxlift.standins.held_port import HeldPort
 
 
 class Recorder:
-    """Writes the records of all taps into one file, in the order in which things passed."""
+    """Writes the records of all taps into one file, in the order of the events."""
 
     def __init__(self, path: Path, loop: asyncio.AbstractEventLoop) -> None:
         self._file: BinaryIO = open(path, "wb", buffering=1 << 20)  # noqa: SIM115
         self._loop = loop
 
     def write(self, tap: str, connection: int, kind: str, data: bytes = b"", **more: Any) -> None:
-        """Append one record: a line of JSON, then the data."""
+        """Append one record."""
         line = {"t": self._loop.time(), "tap": tap, "c": connection, "k": kind, "n": len(data), **more}
         self._file.write(json.dumps(line).encode() + b"\n" + data + b"\n")
 
     def mark(self, text: str, **more: Any) -> None:
-        """Write down what the rehearsal did."""
+        """Record an action of the rehearsal."""
         self.write("", 0, "mark", text=text, **more)
 
     def close(self) -> None:
@@ -47,14 +47,14 @@
 
 
 _numbers = count(1)
-_AT_REST = ways.Terms()
+_NO_FAULT = link_direction.LinkConditions()
 
 
 class Tap:
-    """Listens in the place of `port` and passes on to it.
+    """Listens on a port of its own and forwards to `target`.
 
-    `picks` says by a connection's first bytes whether faults touch it: those between a director and a box are
-    none between that box and its viewers, though both come to one port.
+    `is_affected` tells by a connection's first bytes whether faults apply to it: a server's port is used by
+    directors and viewers, and a fault between a director and a server must not affect viewers.
     """
 
     def __init__(
@@ -62,51 +62,55 @@
         name: str,
         recorder: Recorder,
         loop: asyncio.AbstractEventLoop,
-        picks: Callable[[bytes], bool] = lambda first: True,
-        rest: ways.Terms = _AT_REST,
+        is_affected: Callable[[bytes], bool] = lambda first: True,
+        default_conditions: link_direction.LinkConditions = _NO_FAULT,
     ) -> None:
-        self.rest = rest  # where there is no fault
-        self.name, self.recorder, self.loop, self.picks = name, recorder, loop, picks
+        self.default_conditions = default_conditions  # while there is no fault
+        self.name, self.recorder, self.loop, self.is_affected = name, recorder, loop, is_affected
         self.port = 0
         self._held_port: HeldPort | None = None
         self.target = 0
-        self.up = self.down = rest  # what new connections begin with
+        self.up = self.down = default_conditions  # of new connections
         self._server: asyncio.Server | None = None
         self._sides: set[_Side] = set()
 
     async def listen(self) -> int:
-        """Bind; gives back the port, the same one each time."""
+        """Listen, on the same port each time; returns the port."""
         if self._held_port is None:
             self._held_port = HeldPort()
             self.port = self._held_port.port
         self._server = await self.loop.create_server(
-            lambda: _Asking(self), "127.0.0.1", self.port, backlog=1024
+            lambda: _ClientSide(self), "127.0.0.1", self.port, backlog=1024
         )
         return self.port
 
     # ---- Faults -------------------------------------------------------------------------------------------
-    def change(self, up: ways.Terms | None = None, down: ways.Terms | None = None) -> None:
-        """New terms for one direction or both, of connections that are there and that come."""
+    def change(
+        self,
+        up: link_direction.LinkConditions | None = None,
+        down: link_direction.LinkConditions | None = None,
+    ) -> None:
+        """Change the conditions of one or both directions, for present and future connections."""
         self.up, self.down = up or self.up, down or self.down
         for side in list(self._sides):
-            if side.picked:
+            if side.affected:
                 side.change(self.up if side.kind == "up" else self.down)
 
     def mend(self) -> None:
-        """Pass on as if nothing had been; connections that have lost bytes are reset."""
-        self.change(self.rest, self.rest)
+        """End all faults; connections that have lost bytes are reset."""
+        self.change(self.default_conditions, self.default_conditions)
         for side in list(self._sides):
-            if side.way.dumb:
+            if side.direction.bytes_lost:
                 side.reset()
 
     def reset(self) -> None:
-        """Reset every connection that faults touch."""
+        """Reset every connection that faults apply to."""
         for side in list(self._sides):
-            if side.picked:
+            if side.affected:
                 side.abort()
 
     def refuse(self) -> None:
-        """Take no new connection, as a process that is not there; `listen` takes them again."""
+        """Refuse new connections, as if the process had ended; `listen` accepts them again."""
         if self._server is not None:
             self._server.close()
             self._server = None
@@ -127,10 +131,10 @@
         self.transport: asyncio.Transport | None = None
         self.other: _Side | None = None
         self.number = 0
-        self.picked = True  # whether faults touch this connection
-        self.way = ways.Way(tap.up if kind == "up" else tap.down)
-        self.choked = False  # whether this side takes no more bytes for now
-        self._reads = True  # whether its sender is read from
+        self.affected = True  # whether faults apply to this connection
+        self.direction = link_direction.LinkDirection(tap.up if kind == "up" else tap.down)
+        self.write_paused = False
+        self._is_reading = True
         self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -138,63 +142,63 @@
         self.tap._sides.add(self)
 
     def data_received(self, data: bytes) -> None:
-        self._do(self.way.comes(self.tap.loop.time(), data))
-        self._read_on()
+        self._carry_out(self.direction.receive(self.tap.loop.time(), data))
+        self._update_reading()
 
     def eof_received(self) -> bool:
-        """It has sent all: the connection ends when that has passed."""
-        self._do(self.way.ends(self.tap.loop.time()))
+        """The sender has closed: close the connection once all of its bytes are forwarded."""
+        self._carry_out(self.direction.close(self.tap.loop.time()))
         return True
 
-    def change(self, terms: ways.Terms) -> None:
-        self._do(self.way.change(self.tap.loop.time(), terms))
-        self._read_on()
+    def change(self, conditions: link_direction.LinkConditions) -> None:
+        self._carry_out(self.direction.change(self.tap.loop.time(), conditions))
+        self._update_reading()
 
-    def _do(self, actions: list[ways.Action]) -> None:
+    def _carry_out(self, actions: list[link_direction.Action]) -> None:
         for action in actions:
             match action:
-                case ways.Pass(data):
+                case link_direction.Forward(data):
                     self.tap.recorder.write(self.tap.name, self.number, self.kind, data)
                     if self.other is not None and self.other.transport is not None:
                         self.other.transport.write(data)
-                case ways.End():
+                case link_direction.SenderClosed():
                     if self.transport is not None:
                         self.transport.close()
-                case ways.Sever():
+                case link_direction.BreakConnection():
                     other = self.other
                     if other is not None and other.transport is not None:
                         other.transport.close()
                     self.abort()
-                case ways.CallAgain(at):
+                case link_direction.WakeAt(at):
                     if self._timer is not None:
                         self._timer.cancel()
-                    self._timer = self.tap.loop.call_at(at, self._due)
+                    self._timer = self.tap.loop.call_at(at, self._timer_due)
 
-    def _due(self) -> None:
+    def _timer_due(self) -> None:
         self._timer = None
-        self._do(self.way.due(self.tap.loop.time()))
-        self._read_on()
+        self._carry_out(self.direction.timer_due(self.tap.loop.time()))
+        self._update_reading()
 
-    def _read_on(self) -> None:
-        """Read from the sender only while there is room for what it sends."""
+    def _update_reading(self) -> None:
+        """Read from the sender only while what it sends can be buffered or forwarded."""
         other = self.other
-        reads = not self.way.full and (other is None or not other.choked)
-        if reads != self._reads and self.transport is not None and not self.transport.is_closing():
-            self._reads = reads
-            if reads:
+        may_read = not self.direction.full and (other is None or not other.write_paused)
+        if may_read != self._is_reading and self.transport is not None and not self.transport.is_closing():
+            self._is_reading = may_read
+            if may_read:
                 self.transport.resume_reading()
             else:
                 self.transport.pause_reading()
 
     def pause_writing(self) -> None:
-        self.choked = True
+        self.write_paused = True
         if self.other is not None:
-            self.other._read_on()
+            self.other._update_reading()
 
     def resume_writing(self) -> None:
-        self.choked = False
+        self.write_paused = False
         if self.other is not None:
-            self.other._read_on()
+            self.other._update_reading()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.tap._sides.discard(self)
@@ -206,8 +210,8 @@
             return
         other.other = None
         self.tap.recorder.write(self.tap.name, self.number, "shut", by=self.kind)
-        if self.way.terms.state is not ways.State.OPEN or self.way.dumb:
-            return  # what it sent in the end, its reset too, does not get through
+        if self.direction.conditions.state is not link_direction.LinkState.OPEN or self.direction.bytes_lost:
+            return  # neither its last bytes nor its end are forwarded
         if other.transport is not None:
             if exc is None:
                 other.transport.close()
@@ -222,7 +226,7 @@
             other.abort()
 
     def abort(self) -> None:
-        """Reset: nothing that is still to be sent is, and the peer hears of no orderly end."""
+        """Reset the connection and drop unsent bytes."""
         if self.transport is not None:
             sock = self.transport.get_extra_info("socket")
             if sock is not None:
@@ -230,41 +234,41 @@
             self.transport.abort()
 
 
-class _Asking(_Side):
+class _ClientSide(_Side):
     def __init__(self, tap: Tap) -> None:
         super().__init__(tap, "up")
-        self._early: list[bytes] = []
-        self._early_end = False
-        self._heard = False
+        self._received_early: list[bytes] = []
+        self._closed_early = False
+        self._first_bytes_seen = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         self.number = next(_numbers)
-        # written down only once the target took it: what was refused was never on its sockets
+        # recorded only once the target has accepted it
         self._task: asyncio.Task[None] | None = None
-        if self.way.terms.state is not ways.State.CUT:
+        if self.direction.conditions.state is not link_direction.LinkState.CUT:
             self._task = self.tap.loop.create_task(self._connect())
 
     def data_received(self, data: bytes) -> None:
-        if not self._heard:
-            self._heard = True
-            self.picked = self.tap.picks(data)
-            if not self.picked:
-                self.way = ways.Way()
+        if not self._first_bytes_seen:
+            self._first_bytes_seen = True
+            self.affected = self.tap.is_affected(data)
+            if not self.affected:
+                self.direction = link_direction.LinkDirection()
                 if self.other is not None:
-                    self.other.picked, self.other.way = False, ways.Way()
+                    self.other.affected, self.other.direction = False, link_direction.LinkDirection()
                 if self._task is None:
                     self._task = self.tap.loop.create_task(self._connect())
-        if self.picked and self._task is None:
-            self.way.dumb = True  # it began under a cut
+        if self.affected and self._task is None:
+            self.direction.bytes_lost = True  # opened while the link was cut
         elif self.other is None:
-            self._early.append(data)
+            self._received_early.append(data)
         else:
             super().data_received(data)
 
     def eof_received(self) -> bool:
         if self.other is None:
-            self._early_end = True
+            self._closed_early = True
             return True
         return super().eof_received()
 
@@ -275,19 +279,19 @@
                 lambda: _Side(self.tap, "down"), "127.0.0.1", self.tap.target
             )
         except OSError:
-            if not self.picked or self.tap.down.state is ways.State.OPEN:
+            if not self.affected or self.tap.down.state is link_direction.LinkState.OPEN:
                 self.abort()
             return
         made.number = self.number
-        if not self.picked:
-            made.picked, made.way = False, ways.Way()
+        if not self.affected:
+            made.affected, made.direction = False, link_direction.LinkDirection()
         if self.transport is None or self.transport.is_closing():
             made.abort()
             return
         self.other, made.other = made, self
         self.tap.recorder.write(self.tap.name, self.number, "open")
-        early, self._early = self._early, []
+        early, self._received_early = self._received_early, []
         for data in early:
             super().data_received(data)
-        if self._early_end:
+        if self._closed_early:
             super().eof_received()
--- a/foxlift/standins/timers.py
+++ b/foxlift/standins/timers.py
@@ -1,4 +1,4 @@
-"""Delayed calls of one simulated process, which end with it."""
+"""Delayed calls of one simulated process, cancelled when it ends."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
         self._pending.add(handle)
 
     def cancel_all(self) -> None:
-        """Forget every call that has not been made."""
+        """Cancel all pending calls."""
         for handle in self._pending:
             handle.cancel()
         self._pending.clear()
--- a/tests/control_processes.py
+++ b/tests/control_processes.py
@@ -18,14 +18,14 @@
 
 from foxlift.rehearsal.processes import Child
 from foxlift.standins.fleet import BoxPlan, Fleet, FleetPlan
+from foxlift.standins.link_direction import LinkConditions, LinkState
 from foxlift.standins.tap import Recorder, Tap
-from foxlift.standins.ways import State, Terms
 from foxlift.tokens import Issuer, SessionToken
 
 MEMBERS = ("c0", "c1", "c2")
 RELAYS = ("r0", "r1")
 DIRECTORS = ("d0", "d1")
-CUT = Terms(State.CUT)
+CUT = LinkConditions(LinkState.CUT)
 NO_TARGET = 0
 """The target of a tap whose process has ended: its port may belong to another process by now."""
 
--- a/tests/many.py
+++ b/tests/many.py
@@ -17,9 +17,9 @@
 
 from foxlift.rehearsal.processes import Child
 from foxlift.standins.fleet import BoxPlan, Fleet, FleetPlan
+from foxlift.standins.link_direction import LinkConditions, LinkState
 from foxlift.standins.owners import Owned
 from foxlift.standins.tap import Recorder, Tap
-from foxlift.standins.ways import State, Terms
 from foxlift.tokens import Issuer, SessionToken
 
 NOBODY = 0
@@ -64,7 +64,7 @@
             assert self.loop.time() < end, "the condition did not become true in time"
             await asyncio.sleep(0.01)
 
-    async def until_shown(self, name: str, token: str, seconds: float = 45.0) -> Reply:
+    async def request_until_answered(self, name: str, token: str, seconds: float = 45.0) -> Reply:
         """Request as a viewer does, repeating after each 503; returns the first other answer."""
         end = self.loop.time() + seconds
         while True:
@@ -78,17 +78,21 @@
         text = (self.folder / f"{name}.log").read_text()
         return [json.loads(line) for line in text.splitlines() if line.startswith("{")]
 
-    def said(self, name: str, event: str) -> list[dict[str, Any]]:
+    def log_lines(self, name: str, event: str) -> list[dict[str, Any]]:
         return [line for line in self.log(name) if line.get("event") == event]
 
+    def peer_changes(self, name: str, peer: str) -> list[dict[str, Any]]:
+        """What the director has logged of this peer's state, in order."""
+        return [line for line in self.log_lines(name, "peer") if line["peer"] == peer]
+
     async def wait_for_peers(self) -> None:
         """Wait until each director counts all others as alive and trusts its registers."""
         names = list(self.directors)
 
         def all_known() -> bool:
             return all(
-                self.said(name, "registers vouched for")
-                and {line["peer"] for line in self.said(name, "peer") if line["state"] == "alive"}
+                self.log_lines(name, "registers vouched for")
+                and {line["peer"] for line in self.log_lines(name, "peer") if line["state"] == "alive"}
                 >= set(names) - {name}
                 for name in names
             )
@@ -107,7 +111,7 @@
 
     def cut(self, a: str, b: str, both: bool = True) -> None:
         """Lose all that a sends to b; with `both`, in both directions."""
-        lost = Terms(State.CUT)
+        lost = LinkConditions(LinkState.CUT)
         self.links[a, b].change(lost, lost if both else None)
         if both and (b, a) in self.links:
             self.links[b, a].change(lost, lost)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -15,9 +15,9 @@
 
 from foxlift.cli.main import main
 from foxlift.rehearsal import built_in, run_day, shrink, with_faults
-from foxlift.rehearsal.faults import KINDS, draw_faults, terms_of
+from foxlift.rehearsal.faults import KINDS, conditions_of, draw_faults
 from foxlift.rehearsal.scenario import LINK_FAULTS, Link, Step
-from foxlift.standins import ways
+from foxlift.standins import link_direction
 
 DAY = built_in("short-day")
 
@@ -45,12 +45,12 @@
 
 
 def test_each_kind_has_its_terms() -> None:
-    assert terms_of(step("cut", "d0-b0")).state is ways.State.CUT
-    assert terms_of(step("hold", "d0-b0")).state is ways.State.HELD
-    assert terms_of(step("delay", "d0-b0", 0.5)).delay_s == 0.5
-    assert terms_of(step("slow", "d0-b0", 100)).rate == 100
-    assert terms_of(step("break", "d0-b0", 7)).break_after == 7
-    assert terms_of(step("reset", "d0-b0")) == ways.Terms()
+    assert conditions_of(step("cut", "d0-b0")).state is link_direction.LinkState.CUT
+    assert conditions_of(step("hold", "d0-b0")).state is link_direction.LinkState.HELD
+    assert conditions_of(step("delay", "d0-b0", 0.5)).delay_s == 0.5
+    assert conditions_of(step("slow", "d0-b0", 100)).rate == 100
+    assert conditions_of(step("break", "d0-b0", 7)).break_after == 7
+    assert conditions_of(step("reset", "d0-b0")) == link_direction.LinkConditions()
 
 
 def begins_and_ends(steps: tuple[Step, ...], kinds: tuple[str, ...]) -> list[tuple[float, float, str]]:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -13,6 +13,7 @@
 
 from foxlift.config import ConfigError
 from foxlift.ledger import (
+    AttemptRecovered,
     Book,
     Close,
     Correct,
@@ -20,10 +21,9 @@
     ForgetDue,
     Journal,
     LedgerError,
-    Ran,
-    Rerung,
+    RungChanged,
     Started,
-    TimeCame,
+    TimePassed,
     TurnedAway,
     Void,
     encode,
@@ -73,8 +73,8 @@
         (JAN, start(JAN, "s1", "graded", token="t")),
         (JAN + 5, Ended(JAN + 5, "s1")),
         (JAN + 6, start(JAN + 6, "s2", "graded", token="t")),
-        (JAN + 7, Ran(JAN + 7, "s3", "t", "north", "graded", True)),
-        (JAN + 8, Ran(JAN + 8, "s4", "u", "north", "graded", True)),
+        (JAN + 7, AttemptRecovered(JAN + 7, "s3", "t", "north", "graded", True)),
+        (JAN + 8, AttemptRecovered(JAN + 8, "s4", "u", "north", "graded", True)),
     )
     (attempts,) = [line for line in owed(made.account, TARIFF, "north", "2026-01") if line.unit == "attempts"]
     assert (attempts.amount, attempts.micros, attempts.estimated) == (2, 3_000_000, 1)
@@ -83,8 +83,8 @@
 def test_play_is_charged_by_rung_to_the_millisecond() -> None:
     made = book(
         (JAN, start(JAN)),
-        (JAN + 1000, Rerung(JAN + 1000, "s1", 1)),
-        (JAN + 1000, Rerung(JAN + 1000, "s1", 1)),
+        (JAN + 1000, RungChanged(JAN + 1000, "s1", 1)),
+        (JAN + 1000, RungChanged(JAN + 1000, "s1", 1)),
         (JAN + 4000, Ended(JAN + 4000, "s1")),
         (JAN + 9000, Ended(JAN + 9000, "s1")),
     )
@@ -93,7 +93,7 @@
 
 def test_a_rung_change_in_the_millisecond_of_the_end_costs_nothing_and_loses_nothing() -> None:
     made = book(
-        (JAN, start(JAN)), (JAN + 500, Rerung(JAN + 500, "s1", 1)), (JAN + 500, Ended(JAN + 500, "s1"))
+        (JAN, start(JAN)), (JAN + 500, RungChanged(JAN + 500, "s1", 1)), (JAN + 500, Ended(JAN + 500, "s1"))
     )
     assert micros(made, "2026-01") == [("play at rung 0", 500, 500)]
 
@@ -109,7 +109,7 @@
 
 
 def test_what_plays_across_a_periods_end_is_booked_up_to_it_before_it_closes() -> None:
-    made = book((FEB - 2000, start(FEB - 2000)), (FEB + 2 * HOUR, TimeCame()))
+    made = book((FEB - 2000, start(FEB - 2000)), (FEB + 2 * HOUR, TimePassed()))
     assert micros(made, "2026-01") == [("play at rung 0", 2000, 2000)]
     made.handle(FEB + 3 * HOUR, Ended(FEB + 3 * HOUR, "s1"))
     assert micros(made, "2026-01") == [("play at rung 0", 2000, 2000)]
@@ -119,8 +119,8 @@
 def test_a_clock_that_steps_back_books_nothing_twice() -> None:
     made = book(
         (JAN + 5000, start(JAN + 5000)),
-        (JAN + 4000, Rerung(JAN + 4000, "s1", 1)),
-        (JAN + 1000, TimeCame()),
+        (JAN + 4000, RungChanged(JAN + 4000, "s1", 1)),
+        (JAN + 1000, TimePassed()),
         (JAN + 8000, Ended(JAN + 8000, "s1")),
     )
     assert sum(use.ms for use in made.account.lines.values()) == 3000
@@ -128,16 +128,16 @@
 
 
 def test_a_period_closes_after_its_grace_and_takes_late_records_until_then() -> None:
-    made = book((JAN, start(JAN)), (FEB + 10, TimeCame()))
+    made = book((JAN, start(JAN)), (FEB + 10, TimePassed()))
     assert made.account.state("2026-01") == "closing"
     made.handle(FEB + HOUR - 1, Ended(FEB - 1, "s1"))
     assert micros(made, "2026-01") == [("play at rung 0", FEB - 1 - JAN, FEB - 1 - JAN)]
-    made.handle(FEB + HOUR, TimeCame())
+    made.handle(FEB + HOUR, TimePassed())
     assert made.account.state("2026-01") == "closed"
 
 
 def test_use_of_a_closed_period_is_booked_late_and_changes_nothing_in_it() -> None:
-    made = book((JAN, start(JAN, "s0")), (JAN + 9, Ended(JAN + 9, "s0")), (FEB + 2 * HOUR, TimeCame()))
+    made = book((JAN, start(JAN, "s0")), (JAN + 9, Ended(JAN + 9, "s0")), (FEB + 2 * HOUR, TimePassed()))
     before = micros(made, "2026-01")
     made.handle(FEB + 3 * HOUR, start(FEB - 2000))  # told of only now
     made.handle(FEB + 3 * HOUR, Ended(FEB + 1000, "s1"))
@@ -153,7 +153,7 @@
 
 
 def test_a_correction_to_a_closed_period_stands_in_the_open_one_and_leaves_a_trail() -> None:
-    made = book((JAN, start(JAN, klass="graded")), (FEB + 2 * HOUR, TimeCame()))
+    made = book((JAN, start(JAN, klass="graded")), (FEB + 2 * HOUR, TimePassed()))
     january = micros(made, "2026-01")
     made.handle(FEB + 3 * HOUR, correct("c1", "2026-01"))
     made.handle(FEB + 3 * HOUR, correct("c2", corrects="c1", amount=3))
@@ -186,7 +186,7 @@
 def test_what_the_operator_may_not_do_is_refused_and_writes_nothing(event: Any, words: str) -> None:
     made = book(
         (JAN, start(JAN)),
-        (FEB + 2 * HOUR, TimeCame()),
+        (FEB + 2 * HOUR, TimePassed()),
         (FEB + 2 * HOUR, correct("c1", "2026-01")),
         (FEB + 2 * HOUR, correct("c2", corrects="c1")),
         (FEB + 2 * HOUR, Void("c3", "c2", "ann", "x")),
@@ -301,7 +301,7 @@
         if account.open[name].rung != rung:
             self.certain += max(self.now - self.playing[name], 0)
             self.playing[name] = max(self.now, self.playing[name])
-        self.journal.handle(self.now, Rerung(self.now, name, rung))
+        self.journal.handle(self.now, RungChanged(self.now, name, rung))
 
     @precondition(lambda self: self.playing)
     @rule(data=st.data())
@@ -313,7 +313,7 @@
     @rule(step=st.sampled_from([1, 700, 2500, HOUR, 40 * 24 * HOUR, -3000]))
     def time(self, step: int) -> None:
         self.now += step
-        self.journal.handle(self.now, TimeCame())
+        self.journal.handle(self.now, TimePassed())
         self.done()
 
     @rule(period=st.sampled_from(["2026-01", "2026-02"]))
@@ -448,7 +448,7 @@
     assert made.account.charged == {"t": JAN + 60_000}
     made.handle(JAN + HOUR + 70_000, ForgetDue())
     assert made.account.charged == {}
-    late = Ran(JAN + HOUR + 80_000, "s2", "t", "north", "graded", True, JAN + 60_000)
+    late = AttemptRecovered(JAN + HOUR + 80_000, "s2", "t", "north", "graded", True, JAN + 60_000)
     kinds = [type(linked.record).__name__ for linked in made.handle(JAN + HOUR + 80_000, late)]
     assert "Charged" not in kinds
 
@@ -457,7 +457,7 @@
     made = book((JAN, start(JAN, "s1", "graded", token="t", until=JAN + 60_000)))
     # hours later: what is recalled comes before anything is forgotten
     later = JAN + 9 * HOUR
-    lapsed = Ran(later, "s2", "u", "north", "graded", True, JAN + 50_000)
+    lapsed = AttemptRecovered(later, "s2", "u", "north", "graded", True, JAN + 50_000)
     assert [type(linked.record).__name__ for linked in made.handle(later, lapsed)][-1] == "Charged"
     made.handle(later, ForgetDue())
     assert made.account.charged == {}
--- a/tests/test_ways.py
+++ b/tests/test_link_direction.py
@@ -11,12 +11,22 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from foxlift.standins import ways
+from foxlift.standins.link_direction import (
+    MAX_BUFFERED_BYTES,
+    Action,
+    BreakConnection,
+    Forward,
+    LinkConditions,
+    LinkDirection,
+    LinkState,
+    SenderClosed,
+    WakeAt,
+)
 from foxlift.standins.tap import Recorder, Tap
 
-OPEN, HELD, CUT = ways.State.OPEN, ways.State.HELD, ways.State.CUT
+OPEN, HELD, CUT = LinkState.OPEN, LinkState.HELD, LinkState.CUT
 TERMS = st.builds(
-    ways.Terms,
+    LinkConditions,
     state=st.sampled_from([OPEN, OPEN, HELD, CUT]),
     delay_s=st.sampled_from([0.0, 0.5, 3.0]),
     rate=st.sampled_from([0.0, 1.0, 1000.0]),
@@ -25,66 +35,76 @@
 STEP = st.one_of(st.binary(min_size=1, max_size=9), TERMS, st.floats(0, 5), st.just("end"))
 
 
-def passed(actions: list[ways.Action]) -> bytes:
-    return b"".join(action.data for action in actions if isinstance(action, ways.Pass))
+def passed(actions: list[Action]) -> bytes:
+    return b"".join(action.data for action in actions if isinstance(action, Forward))
 
 
 @settings(max_examples=500, deadline=None)
 @given(st.lists(STEP, max_size=30))
 def test_what_passes_is_the_beginning_of_what_was_sent_and_nothing_comes_after_the_end(
-    script: list[bytes | ways.Terms | float | str],
+    script: list[bytes | LinkConditions | float | str],
 ) -> None:
-    way, now, sent, got = ways.Way(), 0.0, b"", b""
+    direction, now, sent, got = LinkDirection(), 0.0, b"", b""
     over = ended = False
     for step in script:
         if isinstance(step, bytes):
             if ended:
                 continue
             sent += step
-            actions = way.comes(now, step)
-        elif isinstance(step, ways.Terms):
-            actions = way.change(now, step)
+            actions = direction.receive(now, step)
+        elif isinstance(step, LinkConditions):
+            actions = direction.change(now, step)
         elif isinstance(step, float):
             now += step
-            actions = way.due(now)
+            actions = direction.timer_due(now)
         else:
             ended = True
-            actions = way.ends(now)
+            actions = direction.close(now)
         assert not (over and actions)
         got += passed(actions)
-        over = over or any(isinstance(action, ways.End | ways.Sever) for action in actions)
-        assert sent.startswith(got) and way.passed == len(got)
-        assert way.kept <= len(sent) - len(got)
-        if way.terms.state is not OPEN:
+        over = over or any(isinstance(action, SenderClosed | BreakConnection) for action in actions)
+        assert sent.startswith(got) and direction.forwarded_bytes == len(got)
+        assert direction.buffered_bytes <= len(sent) - len(got)
+        if direction.conditions.state is not OPEN:
             assert not actions  # nothing gets through a cut, nor through a hold
-        if any(isinstance(action, ways.End) for action in actions):
+        if any(isinstance(action, SenderClosed) for action in actions):
             assert got == sent and ended
-    if not way.dumb and not over:  # mended, everything arrives in the end
-        got += passed(way.change(now, ways.Terms()))
-        got += passed(way.due(now + 1000.0))
-        assert got == sent or way.terms.break_after is not None
+    if not direction.bytes_lost and not over:  # mended, everything arrives in the end
+        got += passed(direction.change(now, LinkConditions()))
+        got += passed(direction.timer_due(now + 1000.0))
+        assert got == sent or direction.conditions.break_after is not None
 
 
 def test_each_fault_does_what_it_says() -> None:
-    way = ways.Way(ways.Terms(delay_s=2.0))
-    assert way.comes(1.0, b"late") == [ways.CallAgain(3.0)]
-    assert way.due(2.9) == [ways.CallAgain(3.0)] and way.due(3.0) == [ways.Pass(b"late")]
-    way = ways.Way(ways.Terms(rate=10.0))
-    assert way.comes(0.0, b"x" * 5) == [ways.CallAgain(0.5)]
-    way.comes(0.0, b"x" * 5)
-    assert way.due(0.5) == [ways.Pass(b"x" * 5), ways.CallAgain(1.0)]
-    way = ways.Way(ways.Terms(HELD))
-    assert not way.comes(0.0, b"a") and not way.comes(9.0, b"b")
-    assert way.change(10.0, ways.Terms()) == [ways.Pass(b"a"), ways.Pass(b"b")]
-    way = ways.Way(ways.Terms(break_after=3))
-    assert way.comes(0.0, b"ab") == [ways.Pass(b"ab")]
-    assert way.comes(0.0, b"cd") == [ways.Pass(b"c"), ways.Sever()] and not way.comes(0.0, b"e")
-    way = ways.Way(ways.Terms(CUT))
-    assert not way.comes(0.0, b"lost")
-    assert not way.change(1.0, ways.Terms()) and not way.comes(2.0, b"never skipped") and way.dumb
-    way = ways.Way(ways.Terms(HELD))
-    way.comes(0.0, b"x" * (ways.MOST_KEPT + 1))
-    assert way.full
+    direction = LinkDirection(LinkConditions(delay_s=2.0))
+    assert direction.receive(1.0, b"late") == [WakeAt(3.0)]
+    assert direction.timer_due(2.9) == [WakeAt(3.0)] and direction.timer_due(3.0) == [Forward(b"late")]
+    direction = LinkDirection(LinkConditions(rate=10.0))
+    assert direction.receive(0.0, b"x" * 5) == [WakeAt(0.5)]
+    direction.receive(0.0, b"x" * 5)
+    assert direction.timer_due(0.5) == [Forward(b"x" * 5), WakeAt(1.0)]
+    direction = LinkDirection(LinkConditions(HELD))
+    assert not direction.receive(0.0, b"a") and not direction.receive(9.0, b"b")
+    assert direction.change(10.0, LinkConditions()) == [
+        Forward(b"a"),
+        Forward(b"b"),
+    ]
+    direction = LinkDirection(LinkConditions(break_after=3))
+    assert direction.receive(0.0, b"ab") == [Forward(b"ab")]
+    assert direction.receive(0.0, b"cd") == [
+        Forward(b"c"),
+        BreakConnection(),
+    ] and not direction.receive(0.0, b"e")
+    direction = LinkDirection(LinkConditions(CUT))
+    assert not direction.receive(0.0, b"lost")
+    assert (
+        not direction.change(1.0, LinkConditions())
+        and not direction.receive(2.0, b"never skipped")
+        and direction.bytes_lost
+    )
+    direction = LinkDirection(LinkConditions(HELD))
+    direction.receive(0.0, b"x" * (MAX_BUFFERED_BYTES + 1))
+    assert direction.full
 
 
 # ---- On sockets -------------------------------------------------------------------------------------------
@@ -131,7 +151,7 @@
         reader, writer = await asyncio.open_connection("127.0.0.1", tap.port)
         writer.write(b"one")
         assert await reader.readexactly(3) == b"one"
-        tap.change(down=ways.Terms(CUT))
+        tap.change(down=LinkConditions(CUT))
         writer.write(b"two")
         answered = asyncio.ensure_future(reader.read(1))
         while Echo.made.got != b"onetwo":
@@ -140,7 +160,7 @@
         other.write(b"three")
         while Echo.made.got != b"three":
             await asyncio.sleep(0.001)
-        while sum(side.way.dumb for side in tap._sides) < 2:
+        while sum(side.direction.bytes_lost for side in tap._sides) < 2:
             await asyncio.sleep(0.001)
         assert not answered.done()
         tap.mend()  # a stream that has lost bytes is of no use: both are reset
@@ -154,15 +174,17 @@
 
 def test_what_is_held_is_released_late_in_order_and_its_end_too(tmp_path: Path) -> None:
     async def test(tap: Tap) -> None:
-        tap.change(up=ways.Terms(HELD))
+        tap.change(up=LinkConditions(HELD))
         reader, writer = await asyncio.open_connection("127.0.0.1", tap.port)
         writer.write(b"a")
         writer.write(b"b")
         _, quick_writer = await asyncio.open_connection("127.0.0.1", tap.port)
         quick_writer.close()
-        while sum(side.way.kept for side in tap._sides) < 2 or not any(s.way._ended for s in tap._sides):
+        while sum(side.direction.buffered_bytes for side in tap._sides) < 2 or not any(
+            s.direction._sender_closed for s in tap._sides
+        ):
             await asyncio.sleep(0.001)
-        tap.change(up=ways.Terms())
+        tap.change(up=LinkConditions())
         assert await reader.readexactly(2) == b"ab"
         writer.close()
         while tap._sides:
@@ -178,7 +200,7 @@
         with pytest.raises(ConnectionRefusedError):
             await asyncio.open_connection("127.0.0.1", port)
         assert await tap.listen() == port
-        tap.change(down=ways.Terms(break_after=2))
+        tap.change(down=LinkConditions(break_after=2))
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(b"four")
         assert await reader.read() == b"fo"
@@ -193,7 +215,7 @@
         old_writer.write(b"x")
         await old.readexactly(1)
         far = Echo.made
-        tap.change(up=ways.Terms(CUT), down=ways.Terms(CUT))
+        tap.change(up=LinkConditions(CUT), down=LinkConditions(CUT))
         new, new_writer = await asyncio.open_connection("127.0.0.1", tap.port)
         new_writer.write(b"hello")
         far.transport.abort()  # type: ignore[attr-defined]
--- a/tests/test_reconcile.py
+++ b/tests/test_reconcile.py
@@ -26,7 +26,7 @@
 from foxlift.ledger.reconcile import Duplicate, Gap, Reconciler
 from foxlift.ledger.records import Charged, Closed, Opened, Record
 from foxlift.ledger.tariff import period_start
-from foxlift.rehearsal.billing import hold_against
+from foxlift.rehearsal.billing import compare_ledgers
 from foxlift.standins.checker import Checker
 from foxlift.store import FilePort
 
@@ -209,7 +209,7 @@
     run(tmp_path, test, taps=True)
     state = tmp_path / "state-d0"
     checker = Checker(tmp_path / "taps.bin", TERMS)
-    billing = hold_against(checker, [state])
+    billing = compare_ledgers(checker, [state])
     assert billing.differences == []
     assert (billing.attempts, billing.sessions, billing.sessions_estimated) == (2, 4, 0)
     assert billing.ms == billing.ms_on_taps > 200
@@ -225,7 +225,7 @@
         folder.mkdir(exist_ok=True)
         for name, content in other.data.items():
             (folder / name).write_bytes(content)
-        return hold_against(checker, [folder]).differences
+        return compare_ledgers(checker, [folder]).differences
 
     def longer(record: Record) -> list[Record]:
         if isinstance(record, Closed):
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -19,8 +19,9 @@
 from foxlift.manifest import DashSource
 from foxlift.rehearsal.trial import Trial, TrialPlan, ladder_of
 from foxlift.standins import player
-from foxlift.standins.player import Act, Player, Viewer, Watching
+from foxlift.standins.player import Player
 from foxlift.standins.sample import PICTURES, make_sample
+from foxlift.standins.viewer import Viewer, ViewerAction, ViewingRecord
 
 SECONDS = 14
 
@@ -58,10 +59,10 @@
     return told
 
 
-async def watch(url: str, length_s: float, *acts: Act, paid: bool = False) -> Watching:
+async def watch(url: str, length_s: float, *actions: ViewerAction, paid: bool = False) -> ViewingRecord:
     """The stand-in player on the trial's own token."""
     address = urlsplit(url)
-    viewer = Viewer("v", "trial", "someone", "title", paid, 2000, 5000, 1.0, 3, length_s, 0.0, acts)
+    viewer = Viewer("v", "trial", "someone", "title", paid, 2000, 5000, 1.0, 3, length_s, 0.0, actions)
     token = address.query.removeprefix("token=")
     made = Player(viewer, [address.port or 0], 0, lambda v, n: ("trial", token), lambda: 0.5)
     return await made.run()
@@ -92,9 +93,13 @@
 
 def test_a_viewer_seeks_pauses_and_loads_the_page_again_without_a_stall(media: Path, tmp_path: Path) -> None:
     async def test(trial: Trial, url: str) -> None:
-        acts = (Act(0.5, "seek", 5.0), Act(1.0, "pause", 0.5), Act(1.5, "reload"))
-        seen = await watch(url, 4.0, *acts)
-        assert seen.acted == ["seek", "pause", "reload"]
+        actions = (
+            ViewerAction(0.5, "seek", 5.0),
+            ViewerAction(1.0, "pause", 0.5),
+            ViewerAction(1.5, "reload"),
+        )
+        seen = await watch(url, 4.0, *actions)
+        assert seen.performed == ["seek", "pause", "reload"]
         assert (seen.stalls, seen.breaks, seen.gave_up) == (0, 0, "")
         assert seen.highest_buffer_s >= 3.0  # a static title is buffered ahead of play
         assert sum(seen.kbps_s.values()) == pytest.approx(4.0, abs=0.6)
@@ -145,7 +150,7 @@
         next(b for b in trial.fleet.boxes.values() if b.model.sessions).die()
         seen = await playing
         assert (seen.breaks, seen.gave_up) == (0, "")
-        assert seen.ways_back >= 1
+        assert seen.fallbacks >= 1
         assert len([b for b in trial.fleet.boxes.values() if b.model.sessions]) == 1
 
     try_it(media, tmp_path, test)
@@ -153,7 +158,7 @@
 
 def test_a_paid_viewer_who_pauses_for_long_goes_on_with_the_same_set_up(media: Path, tmp_path: Path) -> None:
     async def test(trial: Trial, url: str) -> None:
-        seen = await watch(url, 8.0, Act(1.0, "pause", 3.0), paid=True)
+        seen = await watch(url, 8.0, ViewerAction(1.0, "pause", 3.0), paid=True)
         assert (seen.breaks, seen.gave_up) == (0, "")
         assert sum(box.set_ups for box in trial.fleet.boxes.values()) == 1
         assert trial.daemon.counters.total("taken up again") >= 1
--- a/tests/test_whole_ledger.py
+++ b/tests/test_whole_ledger.py
@@ -12,7 +12,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 from memory import MemoryFiles
 
-from foxlift.ledger import Ended, ForgetDue, Journal, Ran, Rerung, Started, TimeCame
+from foxlift.ledger import AttemptRecovered, Ended, ForgetDue, Journal, RungChanged, Started, TimePassed
 from foxlift.ledger import export as ex
 from foxlift.ledger.reconcile import Reconciled, Reconciler
 from foxlift.ledger.sources import Chained, batches_of, missing_batches, read_batches
@@ -78,7 +78,9 @@
     @rule(which=directors_drawn, token=st.integers(0, 5))
     def left_in_doubt(self, which: int, token: int) -> None:
         """An attempt whose answer was lost: charged as estimated, unless something better is known."""
-        event = Ran(self.now, f"x{self.sessions}", f"t{token}", "n", "g", True, self.now + 60_000)
+        event = AttemptRecovered(
+            self.now, f"x{self.sessions}", f"t{token}", "n", "g", True, self.now + 60_000
+        )
         self.directors[which].journal.handle(self.now, event)
         self.attempts.setdefault(f"t{token}", False)
 
@@ -94,7 +96,7 @@
             self.certain += self.now - begun
             return
         rung = director.journal.book.account.open[name].rung + 1
-        director.journal.handle(self.now, Rerung(self.now, name, rung))
+        director.journal.handle(self.now, RungChanged(self.now, name, rung))
         director.playing[name] = self.now
         self.certain += self.now - begun
 
@@ -102,7 +104,7 @@
     def time(self, step: int) -> None:
         self.now += step
         for director in self.directors:
-            director.journal.handle(self.now, TimeCame())
+            director.journal.handle(self.now, TimePassed())
             director.journal.handle(self.now, ForgetDue())
 
     @rule(which=directors_drawn)
--- a/tests/test_zones_processes.py
+++ b/tests/test_zones_processes.py
@@ -17,7 +17,7 @@
 
 
 def plans(many: Many, name: str) -> list[dict[str, Any]]:
-    return many.said(name, "plan")
+    return many.log_lines(name, "plan")
 
 
 async def traffic(many: Many, stop: asyncio.Event, klass: str = "briefing") -> int:
