--- a/foxlift/cli/control.py
+++ b/foxlift/cli/control.py
@@ -5,28 +5,27 @@
 import asyncio
 import json
 import secrets
-import signal
 import sys
 from pathlib import Path
 from typing import Any
-from urllib.parse import urlsplit
 
 import click
 import msgspec
-import uvloop
 
+from foxlift.cli.exits import EXIT_BAD_FILES, EXIT_SYSTEM_ERROR, fail, run_service
+from foxlift.cli.http_request import send_request
+from foxlift.cli.stopping import stop_requested
 from foxlift.config import ConfigError
 from foxlift.config.control import load_control
 from foxlift.control import messages
 from foxlift.control.service import ControlService
-from foxlift.http import JSON_HEADERS, Failure, Pool, PoolLimits, Response
+from foxlift.http import Failure, Response
 from foxlift.rollout.entry import Change, EntryError, check_change
 from foxlift.rollout.kinds import check_values
 from foxlift.rollout.messages import ChangeRequest, ChangeResponse, Outcome
-from foxlift.store import LogError
 from foxlift.telemetry import configure_logs
 
-EXIT_REFUSED, EXIT_BAD_FILES, EXIT_SYSTEM_ERROR, EXIT_UNKNOWN = 1, 3, 4, 6
+EXIT_REFUSED, EXIT_UNKNOWN = 1, 6
 REQUEST_TIMEOUT_MS = 12_000.0  # a member without a quorum replies "unknown" after about 7 s
 MAX_STATUS_BYTES = 1 << 20
 
@@ -35,11 +34,6 @@
 _decode_status = msgspec.json.Decoder(messages.Status).decode
 
 
-def _fail(code: int, message: str) -> None:
-    click.echo(f"foxlift: {message}", err=True)
-    sys.exit(code)
-
-
 @click.command()
 @click.argument("settings", type=click.Path(path_type=Path))
 @click.option("--log-format", type=click.Choice(["console", "json"]), default="console")
@@ -57,27 +51,19 @@
     try:
         config = load_control(settings)
     except ConfigError as error:
-        _fail(EXIT_BAD_FILES, str(error))
-        return
+        fail(EXIT_BAD_FILES, str(error))
 
     async def work() -> None:
         loop = asyncio.get_running_loop()
+        stop = stop_requested(loop)
         service = ControlService(config, loop)
         port = await service.start()
         click.echo(json.dumps({"port": port}))
         sys.stdout.flush()
-        stop = asyncio.Event()
-        for name in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(name, stop.set)
         await stop.wait()
         await service.stop()
 
-    try:
-        uvloop.run(work())
-    except OSError as error:
-        _fail(EXIT_SYSTEM_ERROR, f"cannot run: {error}")
-    except (ConfigError, LogError, ValueError) as error:
-        _fail(EXIT_BAD_FILES, str(error))
+    run_service(work())
 
 
 _at = click.option("--at", "url", required=True, help="A member of the group, as http://host:port.")
@@ -109,7 +95,7 @@
     try:
         change = _read_change(file)
     except (OSError, EntryError) as error:
-        _fail(EXIT_BAD_FILES, f"{file}: {error}")
+        fail(EXIT_BAD_FILES, f"{file}: {error}")
         return
     _send(url, ChangeRequest(request or secrets.token_hex(8), change))
 
@@ -159,33 +145,18 @@
         click.echo(json.dumps({"request": request.request_id, "version": answer.version}))
         return
     code = EXIT_REFUSED if answer.outcome is Outcome.REFUSED else EXIT_UNKNOWN
-    _fail(code, f"request {request.request_id}: {answer.outcome.value}: {answer.reason}")
+    fail(code, f"request {request.request_id}: {answer.outcome.value}: {answer.reason}")
 
 
 def _call(url: str, method: str, path: str, body: bytes) -> Response:
-    address = urlsplit(url)
-    if address.scheme != "http" or not address.hostname or not address.port:
-        raise click.BadParameter(f"{url} is not http://host:port", param_hint="--at")
-
-    async def work() -> Response | Failure:
-        loop = asyncio.get_running_loop()
-        result: asyncio.Future[Response | Failure] = loop.create_future()
-        limits = PoolLimits(connect_ms=2000.0, max_response_bytes=MAX_STATUS_BYTES)
-        pool = Pool(loop, address.hostname or "", address.port or 0, limits)
-        headers = JSON_HEADERS if body else ()
-        pool.call(method, path, result.set_result, headers=headers, body=body, timeout_ms=REQUEST_TIMEOUT_MS)
-        try:
-            return await result
-        finally:
-            pool.close()
-
-    response = uvloop.run(work())
+    response = send_request(
+        url, method, path, body, timeout_ms=REQUEST_TIMEOUT_MS, max_response_bytes=MAX_STATUS_BYTES
+    )
     if isinstance(response, Failure):
-        _fail(
+        fail(
             EXIT_UNKNOWN if response.sent and method == "POST" else EXIT_SYSTEM_ERROR,
             f"{url}: {response.kind.value}",
         )
-        raise SystemExit
     if response.status != 200:
-        _fail(EXIT_SYSTEM_ERROR, f"{url}: {response.status} {response.body[:200].decode(errors='replace')}")
+        fail(EXIT_SYSTEM_ERROR, f"{url}: {response.status} {response.body[:200].decode(errors='replace')}")
     return response
--- a/foxlift/cli/ledger.py
+++ b/foxlift/cli/ledger.py
@@ -18,6 +18,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from foxlift.cli.exits import EXIT_BAD_FILES, EXIT_SYSTEM_ERROR, fail
 from foxlift.config import ConfigError, load_director
 from foxlift.config.settings import DirectorConfig
 from foxlift.director.exports import ExportRunner, FileDrop
@@ -42,12 +43,7 @@
 from foxlift.ledger.sources import Break, Chained, Missing, batches_of, missing_batches, read_batches
 from foxlift.store import DiskFiles, LogError
 
-EXIT_BAD_FILES, EXIT_SYSTEM_ERROR, EXIT_NOT_ALLOWED, EXIT_DIFFERENT = 3, 4, 6, 7
-
-
-def _fail(code: int, message: str) -> None:
-    click.echo(f"foxlift: {message}", err=True)
-    sys.exit(code)
+EXIT_NOT_ALLOWED, EXIT_DIFFERENT = 6, 7
 
 
 def _settings(path: Path) -> tuple[DirectorConfig, Tariff]:
@@ -70,11 +66,11 @@
     try:
         return asyncio.run(main())
     except (LogError, ConfigError) as error:
-        _fail(EXIT_BAD_FILES, str(error))
+        fail(EXIT_BAD_FILES, str(error))
     except LedgerError as error:
-        _fail(EXIT_NOT_ALLOWED, str(error))
+        fail(EXIT_NOT_ALLOWED, str(error))
     except OSError as error:
-        _fail(EXIT_SYSTEM_ERROR, str(error))
+        fail(EXIT_SYSTEM_ERROR, str(error))
 
 
 _SETTINGS = click.argument("settings", type=click.Path(path_type=Path))
@@ -104,8 +100,7 @@
     try:
         config, tariff = _settings(settings)
     except ConfigError as error:
-        _fail(EXIT_BAD_FILES, str(error))
-        return
+        fail(EXIT_BAD_FILES, str(error))
     account = _with_files(Path(config.state), lambda files: read_account(files, tariff))
     lines = owed(account, tariff, tenant, period)
     total = sum(line.micros for line in lines)
@@ -147,8 +142,7 @@
     try:
         config = load_director(settings)
     except ConfigError as error:
-        _fail(EXIT_BAD_FILES, str(error))
-        return
+        fail(EXIT_BAD_FILES, str(error))
     count = _with_files(Path(config.state), verify)
     click.echo(f"{count} records, chain intact")
 
@@ -157,8 +151,7 @@
     try:
         config, tariff = _settings(settings)
     except ConfigError as error:
-        _fail(EXIT_BAD_FILES, str(error))
-        return
+        fail(EXIT_BAD_FILES, str(error))
 
     async def main() -> OSError | None:
         loop = asyncio.get_running_loop()
@@ -180,14 +173,14 @@
     try:
         failure = asyncio.run(main())
     except (LogError, ConfigError) as problem:
-        _fail(EXIT_BAD_FILES, str(problem))
+        fail(EXIT_BAD_FILES, str(problem))
     except LedgerError as problem:
-        _fail(EXIT_NOT_ALLOWED, str(problem))
+        fail(EXIT_NOT_ALLOWED, str(problem))
     except OSError as problem:
-        _fail(EXIT_SYSTEM_ERROR, str(problem))
+        fail(EXIT_SYSTEM_ERROR, str(problem))
     else:
         if failure is not None:
-            _fail(EXIT_SYSTEM_ERROR, f"not written: {failure}")
+            fail(EXIT_SYSTEM_ERROR, f"not written: {failure}")
         click.echo("written")
 
 
@@ -296,8 +289,7 @@
     try:
         config = load_director(settings)
     except ConfigError as error:
-        _fail(EXIT_BAD_FILES, str(error))
-        return
+        fail(EXIT_BAD_FILES, str(error))
     if table is not None:
         count = _with_files(Path(config.state), lambda files: _write_csv(files, table))
         click.echo(f"{count} records")
@@ -360,11 +352,11 @@
     try:
         click.echo(f"{asyncio.run(main())} records exported")
     except LogError as problem:
-        _fail(EXIT_BAD_FILES, str(problem))
+        fail(EXIT_BAD_FILES, str(problem))
     except LedgerError as problem:
-        _fail(EXIT_NOT_ALLOWED, str(problem))
+        fail(EXIT_NOT_ALLOWED, str(problem))
     except OSError as problem:
-        _fail(EXIT_SYSTEM_ERROR, str(problem))
+        fail(EXIT_SYSTEM_ERROR, str(problem))
 
 
 @ledger.command()
