KNOWN-RED.txt may name a script that shows a fault

A line may name a script: the run does not start it, prints the line at its end, and fails if the file is not there; three may stand beside three tests.

--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -14,6 +14,10 @@
     always      it fails
     sometimes   it fails or passes
 
+A line may also name a script that shows a fault, as a path from the root without `::`, with the same fields.
+The run does not start it. It fails if the file is not there, and prints the line at its end. Three of these
+may stand beside the three tests.
+
 A listed test that is skipped or is not there fails the run, and so does an `always` test that passes, so that
 the list cannot go stale. How each listed test ended is printed. Errors other than failed tests (interrupts,
 usage errors, no tests) keep pytest's exit code. `.ci/run` loads the plugin where the file exists.
@@ -29,7 +33,8 @@
 import pytest
 
 FILE = "KNOWN-RED.txt"
-MAX_LISTED = 3
+MAX_LISTED = 3  # of tests, and of scripts
+NODE_SEPARATOR = "::"  # in the name of every pytest test
 FORM = "test | always or sometimes | command | seed | what was seen | issue"
 FIELDS = FORM.count(" | ") + 1
 SEPARATOR = re.compile(r" \|(?= )")  # the second space may begin the next separator, around an empty field
@@ -49,6 +54,7 @@
     PASSED = "passed"
     SKIPPED = "skipped"
     ABSENT = "not there"
+    NOT_RUN = "not run"
 
 
 ACCEPTED = {
@@ -76,23 +82,34 @@
     def __str__(self) -> str:
         return " | ".join(astuple(self))
 
+    @property
+    def is_script(self) -> bool:
+        """Whether the line names a script, which the run does not start."""
+        return NODE_SEPARATOR not in self.test
+
     def accepts(self, outcome: Outcome) -> bool:
-        """Whether the run may pass with this outcome of the test."""
+        """Whether the run may pass with this outcome of the test or script."""
+        if self.is_script:
+            return outcome is Outcome.NOT_RUN
         return outcome in ACCEPTED[self.frequency]
 
     def verdict(self, outcome: Outcome) -> str:
         """What is printed behind the line."""
         if self.accepts(outcome):
             return f"{outcome}, as listed"
+        if self.is_script:
+            return f"NO SUCH FILE ({outcome}): take its line away"
         return f"{COMPLAINTS[self.frequency]} ({outcome}): take its line away"
 
 
 def read_list(text: str) -> tuple[KnownFailure, ...]:
     """The listed failures; empty lines do not count. Raises MalformedListError."""
     lines = [(number, line) for number, line in enumerate(text.splitlines(), 1) if line.strip()]
-    if len(lines) > MAX_LISTED:
-        raise MalformedListError(f"{FILE}: {len(lines)} lines, at most {MAX_LISTED} are allowed")
     listed = tuple(_read_line(number, line) for number, line in lines)
+    scripts = sum(known.is_script for known in listed)
+    for count, kind in ((len(listed) - scripts, "tests"), (scripts, "scripts")):
+        if count > MAX_LISTED:
+            raise MalformedListError(f"{FILE}: {count} {kind}, at most {MAX_LISTED} are allowed")
     if len({known.test for known in listed}) < len(listed):
         raise MalformedListError(f"{FILE}: a test is listed twice")
     return listed
@@ -117,8 +134,8 @@
 class KnownRed:
     """Collects how the tests ended and decides the exit code. Under xdist it lives in the controller only."""
 
-    def __init__(self, listed: tuple[KnownFailure, ...]) -> None:
-        self.listed = listed
+    def __init__(self, listed: tuple[KnownFailure, ...], root: Path) -> None:
+        self.listed, self._root = listed, root
         self.failed: set[str] = set()
         self.skipped: set[str] = set()
         self.passed: set[str] = set()
@@ -142,24 +159,25 @@
         """The verdict. Other exit codes than those of passed and failed tests stay as they are."""
         if exitstatus not in (pytest.ExitCode.OK, pytest.ExitCode.TESTS_FAILED):
             return
-        as_listed = not self._unlisted() and all(
-            known.accepts(self._outcome(known.test)) for known in self.listed
-        )
+        as_listed = not self._unlisted() and all(known.accepts(self._outcome(known)) for known in self.listed)
         session.exitstatus = pytest.ExitCode.OK if as_listed else pytest.ExitCode.TESTS_FAILED
 
     def pytest_terminal_summary(self, terminalreporter: pytest.TerminalReporter) -> None:
         """Prints each listed test and how it ended, and the failures that are not listed."""
         terminalreporter.section(FILE)
         for known in self.listed:
-            terminalreporter.line(f"{known}: {known.verdict(self._outcome(known.test))}")
+            terminalreporter.line(f"{known}: {known.verdict(self._outcome(known))}")
         for test in sorted(self._unlisted()):
             terminalreporter.line(f"{test}: FAILED, not listed")
 
     def _unlisted(self) -> set[str]:
         return self.failed - {known.test for known in self.listed}
 
-    def _outcome(self, test: str) -> Outcome:
-        """The worst of the test's set-up, call and tear-down."""
+    def _outcome(self, known: KnownFailure) -> Outcome:
+        """The worst of the test's set-up, call and tear-down; of a script, whether its file is there."""
+        if known.is_script:
+            return Outcome.NOT_RUN if (self._root / known.test).is_file() else Outcome.ABSENT
+        test = known.test
         if test in self.failed:
             return Outcome.FAILED
         if test in self.skipped:
@@ -176,4 +194,4 @@
         listed = read_list(path.read_text(encoding="utf-8"))
     except MalformedListError as error:
         raise pytest.UsageError(str(error)) from error
-    config.pluginmanager.register(KnownRed(listed), "known-red-list")
+    config.pluginmanager.register(KnownRed(listed, Path(config.rootpath)), "known-red-list")
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -50,7 +50,7 @@
     command = f"python3 -m venv --help > venv.txt && {sys.executable} -m pytest -q -n {workers} tests"
     (tmp_path / "README.md").write_text(f"# Scratch\n\n    {command}\n")
     (tmp_path / "pytest.ini").write_text("[pytest]\n")
-    (tmp_path / "tests").mkdir()
+    (tmp_path / "tests").mkdir(exist_ok=True)
     (tmp_path / "tests/test_it.py").write_text(tests)
     if listed is not None:
         (tmp_path / "KNOWN-RED.txt").write_text(listed)
@@ -161,6 +161,36 @@
     assert code not in (0, 1) and complaint in output and "passed" not in output
 
 
+SCRIPT = f"tests/show.sh {ALWAYS}"
+
+
+@pytest.mark.parametrize("workers", [0, 2])
+def test_a_listed_script_is_printed_and_not_run(tmp_path: Path, workers: int) -> None:
+    """It would fail if it were run, and leave a file; three tests may stand beside it."""
+    (tmp_path / "tests").mkdir()
+    (tmp_path / "tests/show.sh").write_text("#!/bin/sh\ntouch was-run\nexit 1\n")
+    code, output = ci(tmp_path, RED + CASE + SET_UP + SCRIPT, workers=workers)
+    assert code == 0 and f"{SCRIPT.strip()}: not run, as listed" in output
+    assert not (tmp_path / "was-run").exists()
+
+
+def test_a_listed_script_that_is_not_there_fails_the_run(tmp_path: Path) -> None:
+    code, output = ci(tmp_path, RED + CASE + SET_UP + SCRIPT)
+    assert code == 1 and f"{SCRIPT.strip()}: NO SUCH FILE (not there)" in output
+
+
+def test_a_listed_script_excuses_no_test_and_no_more_than_three_are_listed(tmp_path: Path) -> None:
+    (tmp_path / "tests").mkdir()
+    (tmp_path / "tests/show.sh").write_text("exit 1\n")
+    code, output = ci(tmp_path, SCRIPT)
+    assert code == 1 and "tests/test_it.py::test_red: FAILED, not listed" in output
+    four = "".join(f"tests/show{k}.sh {ALWAYS}" for k in range(4))
+    shutil.rmtree(tmp_path)
+    tmp_path.mkdir()
+    code, output = ci(tmp_path, four)
+    assert code not in (0, 1) and "4 scripts, at most 3" in output
+
+
 def test_a_file_that_cannot_be_collected_fails_the_run(tmp_path: Path) -> None:
     code, output = ci(tmp_path, RED, "import nothing_of_this_name\n")
     assert code not in (0,) and "tests/test_it.py: FAILED, not listed" in output
