A later session that a pause kept from being sent is played again; pauses are measured

Cause: its attempt has 240 ms, and director and test share a process.

A scenario is played again only if the process did not run for half of the time limit: all time beside its processor time while the loop does not sleep (wait_without_sleep).

--- a/tests/test_platform_crossings.py
+++ b/tests/test_platform_crossings.py
@@ -24,9 +24,11 @@
 from ports import free_address
 from test_platform_sockets import (
     SMALL_BUFFER,
+    PausedTooLongError,
     Scene,
     client_connections,
     connect_unreading_viewer,
+    is_sent,
     name,
     process,
     run_scenario,
@@ -34,6 +36,7 @@
     send_more,
     stop_reading,
     unsent,
+    wait_without_sleep,
 )
 
 from foxlift.platform import pool_messages, stop
@@ -47,6 +50,8 @@
     start_line,
 )
 
+ATTEMPT_MS = 240.0  # that the module gives an attempt of the default class of `start_line`
+
 
 def push(viewer: Viewer, data: bytes) -> None:
     """Write into the kernel's buffers at once, not through the loop."""
@@ -262,11 +267,19 @@
 
 
 async def serve_another(world: Scene, number: int, left_ms: int = 1000) -> None:
-    """Start a later session; everything that is sent before it has been sent when this returns."""
+    """Start a later session; everything that is sent before it has been sent when this returns.
+
+    Raises:
+        PausedTooLongError: a pause of the process used up the time of its attempt before it was sent.
+    """
     later = await world.viewer()
     later.send(start_line(name(number), opts={"left": str(left_ms)}))
-    answer = await later.answer(name(number))
-    assert answer is not None and answer["verb"] == "STARTED"
+    answer = asyncio.ensure_future(later.answer(name(number)))
+    paused_ms = await wait_without_sleep(answer.done)
+    message = answer.result()
+    if paused_ms >= ATTEMPT_MS / 2 and not is_sent(world, name(number)):
+        raise PausedTooLongError(f"the later session was not sent: paused for {paused_ms} ms")
+    assert message is not None and message["verb"] == "STARTED"
 
 
 def sent(world: Scene, number: int) -> int:
--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -101,6 +101,18 @@
     """A pause of the process used up the time limit of a request, so the scenario did not take place."""
 
 
+async def wait_without_sleep(done: Callable[[], bool]) -> float:
+    """Wait until `done()` and return for how long the process did not run meanwhile, in ms.
+
+    The loop does not sleep, so all time beside its processor time is a pause.
+    """
+    began_s, began_processor_s = time.monotonic(), time.process_time()
+    while not done():
+        await asyncio.sleep(0)
+    elapsed_s = time.monotonic() - began_s
+    return (elapsed_s - (time.process_time() - began_processor_s)) * 1000
+
+
 async def until_sent(world: Scene, tag: str, limit_ms: float) -> None:
     """Wait until a server receives the set-up of a request that was sent just now with this time limit.
 
@@ -108,13 +120,17 @@
     request then.
 
     Raises:
-        PausedTooLongError: no set-up was received within the time limit.
+        PausedTooLongError: no set-up was received within the time limit, half of which was a pause.
     """
-    began = time.monotonic()
-    while not any("SETUP" in server.methods(tag) for server in world.servers):
-        if time.monotonic() - began >= limit_ms / 1000:
-            raise PausedTooLongError(f"no set-up of {tag} within {limit_ms} ms")
-        await asyncio.sleep(0)
+    end_s = time.monotonic() + limit_ms / 1000
+    paused_ms = await wait_without_sleep(lambda: is_sent(world, tag) or time.monotonic() >= end_s)
+    if not is_sent(world, tag):
+        assert paused_ms >= limit_ms / 2, f"no set-up of {tag} within {limit_ms} ms"
+        raise PausedTooLongError(f"paused for {paused_ms} ms of {limit_ms}")
+
+
+def is_sent(world: Scene, tag: str) -> bool:
+    return any("SETUP" in server.methods(tag) for server in world.servers)
 
 
 def run_scenario(test: Callable[[], Awaitable[None]]) -> None:
--- a/tests/test_platform_turns.py
+++ b/tests/test_platform_turns.py
@@ -30,6 +30,7 @@
     run_scenario,
     scene,
     until_sent,
+    wait_without_sleep,
 )
 
 from foxlift.platform import admission, pool_messages
@@ -123,18 +124,19 @@
             session = core._by_tag.get(name(1))
             if session is None:
                 raise PausedTooLongError("the time limit passed as the set-up was received")
+            due = core.attempts.timeout_at(session.number)
 
             def meanwhile() -> None:
                 nonlocal paused
                 paused = not core.attempts.has_attempt(session.number)
+                assert not paused or world.director.timeline.now() >= due
                 for what in () if paused else order:
                     if what == "answer":
                         write_now(writer, rtsp_answer(200, name(1), b"box\r\n" + body))
                     elif what == "cancel":
                         push(viewer, finish_line(name(1)))
                     else:  # the loop is blocked past the viewer's time limit
-                        due = core.attempts.timeout_at(session.number) - world.director.timeline.now()
-                        time.sleep(max(due + late_ms, 0) / 1000)
+                        time.sleep(max(due + late_ms - world.director.timeline.now(), 0) / 1000)
 
             done = stall_loop(world, meanwhile)
             other.send(start_line(name(9)))
@@ -504,11 +506,11 @@
             director.servers.connection_opened = open_after_stall  # type: ignore[method-assign]
             viewer = await world.viewer()
             viewer.send(start_line(name(1), klass, opts={"left": "100"}))
-            began = time.monotonic()
-            while not director.servers.opening:
-                if time.monotonic() - began >= 0.1:
-                    raise PausedTooLongError("the time limit passed before a connection was opened")
-                await asyncio.sleep(0)
+            end_s, opening = time.monotonic() + 0.1, director.servers.opening
+            paused_ms = await wait_without_sleep(lambda: bool(opening) or time.monotonic() >= end_s)
+            if not opening:
+                assert paused_ms >= 50
+                raise PausedTooLongError("the time limit passed before a connection was opened")
             opened.set()
             answer = await viewer.answer(name(1))
             assert answer is not None and (answer["verb"], answer["rc"]) == ("FINISH", 34)
