--- a/foxlift/recovery/succession.py
+++ b/foxlift/recovery/succession.py
@@ -11,6 +11,7 @@
 import zlib
 from array import array
 from collections.abc import Iterable, Set
+from itertools import filterfalse
 
 from foxlift.consensus import rendezvous
 
@@ -29,7 +30,7 @@
         self._boxes: frozenset[str] = frozenset()
         self._places: dict[str, int] = {}  # of each box in a row
         self._reachable: frozenset[str] = frozenset((name,))
-        self._order: tuple[str, ...] = (name,)  # the reachable ones
+        self._order = [name]  # the reachable ones
         self._ids: dict[str, int] = {}  # of directors, from 1
         # by gone director: at each box's place the id of a reachable director that ranks before this one
         self._rows: dict[str, array[int]] = {}
@@ -65,7 +66,7 @@
             return
         self._reachable = reachable
         # in the order of the changes, so that the same changes cost the same ranks in every process
-        self._order = (*(name for name in self._order if name in reachable), *sorted(added))
+        self._order = [*filterfalse(removed.__contains__, self._order), *sorted(added)]
         removed_ids = {self._ids[name] for name in removed if name in self._ids}
         for owner, row in self._rows.items():
             if not removed_ids.isdisjoint(row):
