--- a/review/standins2/world2.py
+++ b/review/standins2/world2.py
@@ -10,7 +10,6 @@
 import json
 import os
 import resource
-import signal
 import socket
 import subprocess
 import tempfile
@@ -212,12 +211,6 @@
             await asyncio.sleep(0.05)
         raise CannotRunError(f"the director did not become ready: {self.log()[-400:]}")
 
-    def signal(self, number: signal.Signals) -> None:
-        """Send it a signal."""
-        assert self.process is not None
-        self.record(f"director gets {number.name}")
-        self.process.send_signal(number)
-
     def descriptors(self) -> int:
         """How many descriptors it holds."""
         assert self.process is not None
@@ -256,8 +249,6 @@
         self.standing: dict[str, asyncio.StreamWriter] = {}
         self.writers: set[asyncio.StreamWriter] = set()
         self.on_setup: Callable[[str, dict[str, str], bytes, asyncio.StreamWriter], bool] | None = None
-        self.on_accept: Callable[[asyncio.StreamWriter], bool] | None = None
-        self.ended: dict[str, str] = {}
         self.address = ""
         self.server: asyncio.Server | None = None
 
@@ -269,8 +260,6 @@
         return self
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if self.on_accept is not None and not self.on_accept(writer):
-            return
         self.writers.add(writer)
         try:
             while True:
@@ -297,7 +286,6 @@
         elif method == "TEARDOWN":
             self.record(f"{self.name} got TEARDOWN {tag} {headers.get('reason', '')}")
             self.standing.pop(tag, None)
-            self.ended[tag] = "released by the director"
             writer.write(rtsp("RTSP/1.0 200 OK", tag, 2))
         else:
             self.record(f"{self.name} got {method} {tag}")
@@ -313,23 +301,12 @@
         if not writer.is_closing():
             writer.write(rtsp(f"RTSP/1.0 {status} No", tag, 1))
 
-    def stop(self) -> None:
-        """Die as a process does: the listener goes, connections are reset."""
-        if self.server is not None:
-            self.server.close()
-        for writer in list(self.writers):
-            writer.transport.abort()
-
 
 class Coordinator:
-    """Tells the list: frames over TCP, from the number asked for, and an empty frame each second."""
+    """Has nothing new to tell: an empty frame at once, and then each second."""
 
-    def __init__(self, record: Record, name: str = "coordinator") -> None:
-        self.record, self.name = record, name
-        self.frames: list[tuple[int, bytes]] = []
-        self.writers: set[asyncio.StreamWriter] = set()
-        self.asked: list[int] = []
-        self.answers_after_s = 0.0  # from a call to its first byte
+    def __init__(self, record: Record) -> None:
+        self.record = record
         self.address = ""
         self.server: asyncio.Server | None = None
 
@@ -342,20 +319,9 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             asked = int.from_bytes(await reader.readexactly(8), "big")
-            self.asked.append(asked)
-            self.record(f"{self.name} is asked for what follows event {asked}")
-            if self.answers_after_s:
-                await asyncio.sleep(self.answers_after_s)
-                if reader.at_eof() or writer.is_closing():
-                    self.record(f"{self.name}: that call was given up before its answer")
-                    return
-                self.record(f"{self.name} answers that call")
-            self.writers.add(writer)
-            for number, data in self.frames:
-                if number > asked:
-                    writer.write(data)
+            self.record(f"coordinator is asked for what follows event {asked}")
             while not reader.at_eof():
-                writer.write(frame(self.frames[-1][0] if self.frames else 1, 0))
+                writer.write(frame(asked, 0))
                 await writer.drain()
                 try:
                     await asyncio.wait_for(reader.read(64), 1.0)
@@ -364,48 +330,14 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
-            self.writers.discard(writer)
             writer.close()
 
-    def tell(self, number: int, payload: bytes) -> None:
-        """A new event: changes."""
-        data = frame(number, 2, payload)
-        self.frames.append((number, data))
-        self.record(f"{self.name} has event {number} and tells it to {len(self.writers)} connections")
-        for writer in self.writers:
-            writer.write(data)
-
-    def stop_accepting(self) -> None:
-        """Take no further connection."""
-        if self.server is not None:
-            self.server.close()
-
-    def close_connections(self) -> None:
-        """Close the open ones."""
-        for writer in list(self.writers):
-            writer.close()
-        self.writers.clear()
-
 
 def frame(number: int, kind: int, payload: bytes = b"") -> bytes:
     """One frame of the coordinator."""
     return (9 + len(payload)).to_bytes(4, "big") + number.to_bytes(8, "big") + bytes([kind]) + payload
 
 
-def entry(number: int, address: str, state: int, cell: int = 0, started: int = 0) -> bytes:
-    """A record of 27 bytes."""
-    host, port = address.split(":")
-    return (
-        number.to_bytes(4, "big")
-        + bytes(int(part) for part in host.split("."))
-        + int(port).to_bytes(2, "big")
-        + bytes([state, 0, 0])
-        + cell.to_bytes(2, "big")
-        + (1000).to_bytes(4, "big")
-        + started.to_bytes(8, "big")
-    )
-
-
 def start_message(
     tag: str, klass: str = "free", title: str = "00000000000000aa", **more: str
 ) -> dict[str, Any]:
@@ -471,10 +403,6 @@
         """Close it."""
         self.writer.close()
 
-    def reset(self) -> None:
-        """Reset it."""
-        self.writer.transport.abort()
-
 
 def run_case(case: Path, body: Callable[[Record], Any], limit_s: float = 110) -> None:
     """Run a case: exit with 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
