--- a/review/standins2/world2.py
+++ b/review/standins2/world2.py
@@ -406,10 +406,13 @@
 
 def run_case(case: Path, body: Callable[[Record], Any], limit_s: float = 110) -> None:
     """Run a case: exit with 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
-    record = Record(case)
+    asyncio.run(_run(Record(case), body, limit_s))
+
+
+async def _run(record: Record, body: Callable[[Record], Any], limit_s: float) -> None:
     record(f"TROUBLE={'1' if TROUBLE else '0'}")
     try:
-        broken = asyncio.run(asyncio.wait_for(body(record), limit_s))
+        broken = await asyncio.wait_for(body(record), limit_s)
         verdict, status = (f"rule broken: {broken}", 1) if broken else ("rule held", 0)
     except CannotRunError as error:
         verdict, status = f"could not run: {error}", 2
@@ -417,4 +420,5 @@
         verdict, status = f"could not run: {type(error).__name__}: {error}", 2
     record(verdict)
     print(verdict, flush=True)
-    os._exit(status)  # without the noise of connections that are still open
+    # the body has ended the director; from here on nothing may wait for tasks that are still to be cancelled
+    os._exit(status)
