Set-ups with figures out of range and two requests under one id are refused

The core compared `home` alone with the settings, and took any set-up with the same description for a repetition. The nodes' record shows usual set-ups: figures aren't passed on. A repetition is equal in every field. The old work's description and title are replaced by the request itself, which is dropped once it plays.

--- a/foxlift/platform/core.py
+++ b/foxlift/platform/core.py
@@ -36,6 +36,7 @@
 from foxlift.platform.pooled_connection import SetupAnswer
 from foxlift.platform.session_endings import EndSource, SessionEndings
 from foxlift.platform.settings import Address, Config, ListUpdate
+from foxlift.platform.setup_ranges import invalid_figure
 from foxlift.platform.viewer_releases import ViewerReleases, Write
 from foxlift.wiresettings import LOAD_FIELDS
 
@@ -74,9 +75,8 @@
     tag: str
     conn: int  # of its viewer
     klass: int
-    title: str
-    description: str  # empty once it plays
     state: _State
+    start: viewers.Start | None  # the set-up as requested; None once the session plays
     rung: int = 0
     attempts: int = 0  # made so far
     node: int = 0  # of the current attempt
@@ -212,8 +212,9 @@
         self._in_flight_on.setdefault((node, conn), set()).add(number)
         remaining_ms = max(self.attempts.timeout_at(number) - now, 1.0)
         klass = self.settings.classes[session.klass].name
-        body = session.description.encode()
-        return rtsp.setup(session.tag, session.title, klass, session.rung, int(remaining_ms), body)
+        assert session.start is not None  # a session that waits for its set-up does not play
+        body = session.start.description.encode()
+        return rtsp.setup(session.tag, session.start.title, klass, session.rung, int(remaining_ms), body)
 
     def is_waiting(self, number: int, node: int) -> bool:
         """Return whether an attempt of the request at this server is not sent yet."""
@@ -259,7 +260,7 @@
     def _start(self, conn: int, start: viewers.Start, waited_ms: float) -> None:
         klass = self._classes.get(start.klass)
         tenant = self._tenants.get(start.tenant, -1 if self._tenants else 0)
-        if klass is None or tenant < 0 or start.holders < 1 or start.first_cell >= self.settings.cells:
+        if klass is None or tenant < 0 or invalid_figure(start, self.settings) is not None:
             self.counts["senseless"] += 1
             if start.plays_at is None:
                 self._reject(conn, start.tag)
@@ -270,16 +271,14 @@
                 self._hand_over(conn, start, start.plays_at)
             return
         if existing is not None:
-            same = existing.state is _State.REQUESTED and existing.description == start.description
             self.counts["id in use"] += 1
-            if not (same and existing.conn == conn):  # a repetition: the first one is answered
+            is_repetition = existing.conn == conn and existing.start == start
+            if not is_repetition:  # of a repetition, the first is answered
                 self._reject(conn, start.tag)
             return
         self.session_endings.expire(self._now)
         self._last_number += 1
-        session = _Session(
-            self._last_number, start.tag, conn, klass, start.title, start.description, _State.REQUESTED
-        )
+        session = _Session(self._last_number, start.tag, conn, klass, _State.REQUESTED, start)
         self.sessions[session.number] = self._by_tag[start.tag] = session
         self._open_by_conn.setdefault(conn, set()).add(session.number)
         self._actions.append(ev.ChangeViewerSessions(conn, 1))
@@ -335,7 +334,7 @@
         klass = self._classes[start.klass]
         tenant = self._tenants.get(start.tenant, 0)
         self._last_number += 1
-        session = _Session(self._last_number, start.tag, conn, klass, start.title, "", _State.PLAYING)
+        session = _Session(self._last_number, start.tag, conn, klass, _State.PLAYING, None)
         session.node, session.attempts, session.rung = node, 1, self.settings.classes[klass].floor
         session.playing_since = self._now
         self.sessions[session.number] = self._by_tag[start.tag] = session
@@ -656,7 +655,7 @@
             self.counts["answer without a description"] += 1
             self._attempt_lost(number, at.CallFailure.UNREADABLE)
             return
-        session.state, session.description, session.playing_since = _State.PLAYING, "", self._now
+        session.state, session.start, session.playing_since = _State.PLAYING, None, self._now
         self.counts["started"] += 1
         self._setup_finished(session)
         self._request_answered(session)
--- a/tests/test_platform_core.py
+++ b/tests/test_platform_core.py
@@ -161,6 +161,66 @@
     assert not world.core.sessions
 
 
+@pytest.mark.parametrize(
+    ("klass", "more"),
+    [
+        ("paid", {}),
+        ("free", {"title": name(0xB2)}),
+        ("free", {"opts": {"left": "900"}}),
+        ("free", {"opts": {"extras": "home:1;copies:4;top:3;viewer:00000000b4d65521"}}),
+    ],
+    ids=["class", "title", "time", "first cell"],
+)
+def test_two_requests_under_one_tag_are_both_rejected(klass: str, more: dict[str, Any]) -> None:
+    """Guards against serving a client whose two requests differ in other fields than the description."""
+    world = World()
+    world.receive_from_viewer(start_line(name(1), "free"), 1)
+    world.receive_from_viewer(start_line(name(1), klass, **more), 1)
+    for node, conn, _ in world.connect_waiting():
+        world.receive_from_server(node, conn, rtsp_answer(200, name(1), b"there\r\n"))
+    assert [m["rc"] for _, m in world.sent_to_viewers] == [96]
+    assert not world.core.sessions
+
+
+@pytest.mark.parametrize(
+    "extras",
+    [
+        "home:0;copies:60000;top:3",
+        "home:0;copies:17;top:3",
+        "home:0;copies:0;top:3",
+        "home:4;copies:3;top:3",
+        "home:0;copies:3;top:250",
+        "home:0;copies:3;top:10",
+    ],
+)
+def test_a_set_up_with_a_figure_far_out_of_range_is_rejected(extras: str) -> None:
+    """Guards against serving a client whose figures can't be those of this deployment (4 cells, 4 rungs)."""
+    world = World()
+    world.receive_from_viewer(start_line(name(1), opts={"extras": extras}))
+    assert [m["rc"] for _, m in world.sent_to_viewers] == [96]
+    assert not world.core.sessions and not any(isinstance(e, fl.Ask) for e in world.events)
+
+
+@pytest.mark.parametrize("cells", [1, 2, 4, 200])
+@pytest.mark.parametrize("rungs", [2, 4, 6])
+def test_every_figure_that_the_pages_name_for_usual_viewers_is_accepted(cells: int, rungs: int) -> None:
+    """Guards against ranges that refuse usual viewers: few cells, all cells, a short ladder, the example."""
+    world = World(
+        servers={number: cell % cells for number, cell in SERVERS.items()},
+        family_info__cells=cells,
+        family_info__ladder_kb=[100.0 * 2**k for k in range(rungs)],
+        family_info__ladder_worth=[(k + 1) / rungs for k in range(rungs)],
+    )
+    most = max(cells, 3)  # "three at least"
+    usual = [(0, 1, 0), (cells - 1, most, rungs - 1), (0, most, 4), (0, 3, 9)]
+    for number, (home, copies, top) in enumerate(usual):
+        world.receive_from_viewer(
+            start_line(name(number), opts={"extras": f"home:{home};copies:{copies};top:{top}"})
+        )
+    assert sum(isinstance(event, fl.Ask) for event in world.events) == len(usual)
+    assert 96 not in [m.get("rc") for _, m in world.sent_to_viewers]
+
+
 def test_a_repeated_set_up_on_a_connection_has_one_answer() -> None:
     world = World()
     world.receive_from_viewer(start_line(name(1)))
