A request that was read is answered before its connection is closed at the bound

Admission counted a connection as busy while a session of it plays; with no idle one left it closed the one accepted last. A fall of the clients' share, after more nodes were listed, closed connections with open set-ups in the same way. Change: admission counts open set-ups apart from sessions. Connections whose sessions only play are closed first; where all have open set-ups, the busiest gets its answers and is closed. A fallen share waits for set-ups to end. Two tests asked for the eviction of the newcomer where all others have playing sessions, which is this fault: both now ask for the connection without a message for longest, and that one with an open set-up stays while another is without.

--- a/foxlift/platform/admission.py
+++ b/foxlift/platform/admission.py
@@ -3,11 +3,12 @@
 By the platform's protocol, clients hold at most a third of the descriptors. Connections beyond the bound are
 closed to make room. A connection is *proven* once a complete, valid message has been received on it.
 
-    group      members                                   order within the group
-    new        not proven, no message begun              time of accept
-    partial    a message has begun and is not complete   time of its first byte
-    idle       proven, no session open or playing        time of the last message
-    busy       proven, with sessions                     -
+    group      members                                         order within the group
+    new        not proven, no message begun                    time of accept
+    partial    a message has begun and is not complete         time of its first byte
+    idle       proven, no session                              time of the last message
+    standing   proven, sessions that play, no open set-up      time of the last message
+    busy       with an open set-up                             -
 
     connection  event                                                  action
     any         not proven after FIRST_REQUEST_TIMEOUT_MS              closed
@@ -22,7 +23,12 @@
 3. the connection that has been idle longest;
 4. the oldest new connection;
 5. the oldest partial connection without a session;
-6. the connection accepted last.
+6. the standing connection without a message for longest: a session that plays belongs to no connection;
+7. the oldest partial connection without an open set-up;
+8. the connection with the most open set-ups; of several, the one with the most set-ups that failed. Its open
+   set-ups must be answered before it is closed, since a request that was read needs its answer.
+
+A fall of the bound evicts nothing by rule 8: connections beyond it stay until their set-ups have ended.
 
 New connections are preferred to idle ones because a client's first request arrives some round trips after its
 connect and may come in several segments, while the platform's clients close idle connections themselves. The
@@ -48,6 +54,8 @@
     proven: bool = False
     partial_since: float = 0.0  # 0: no partial message
     sessions: int = 0  # open or playing
+    open_setups: int = 0
+    failed_setups: int = 0  # that ended without a session
     protocol_errors: int = 0  # invalid messages received
 
 
@@ -62,18 +70,38 @@
     _unproven: dict[int, None] = field(default_factory=dict)  # in order of accept
     _partial: dict[int, None] = field(default_factory=dict)  # in order of the first byte of the message
     _idle: dict[int, None] = field(default_factory=dict)  # in order of the last message
+    _standing: dict[int, None] = field(default_factory=dict)  # in order of the last message
+    _tolerated: int = 0  # number of connections beyond a bound that has fallen
 
     def opened(self, now: float, conn: int) -> int | None:
         """Register an accepted connection; return one to close now if MAX_OVERSHOOT is exceeded."""
         self.connections[conn] = _Connection(now)
         self._unproven[conn] = None
-        return self._evict(now) if len(self.connections) > self.max_connections + MAX_OVERSHOOT else None
+        bound = self.max_connections + self._tolerated + MAX_OVERSHOOT
+        return self._evict(now) if len(self.connections) > bound else None
+
+    def change_bound(self, max_connections: int) -> None:
+        """Change the bound. Call `surplus` once all sockets have been read."""
+        self.max_connections = max_connections
+        self._tolerated = max(len(self.connections) - max_connections, 0)
+
+    @property
+    def is_over_bound(self) -> bool:
+        """Whether there are more connections than the bound."""
+        return len(self.connections) > self.max_connections
 
     def surplus(self, now: float) -> list[int]:
-        """Evict connections down to the bound and return them. Call once all sockets have been read."""
+        """Evict connections down to the bound and return them. Call once all sockets have been read.
+
+        Those with an open set-up are evicted only for others that were accepted since the bound has fallen.
+        """
         closed = []
-        while len(self.connections) > self.max_connections:
-            closed.append(self._evict(now))
+        while self.is_over_bound:
+            victim = self._select_victim(now)
+            if victim is None and len(self.connections) <= self.max_connections + self._tolerated:
+                break
+            closed.append(self._evict(now, victim))
+        self._tolerated = min(self._tolerated, max(len(self.connections) - self.max_connections, 0))
         return closed
 
     def received(self, now: float, conn: int, proven: bool, partial: bool) -> None:
@@ -91,14 +119,30 @@
             connection.partial_since = now
             self._partial[conn] = None
         self._idle.pop(conn, None)
-        self._update_idle(conn, connection)
+        self._standing.pop(conn, None)
+        self._update_groups(conn, connection)
 
     def sessions_changed(self, conn: int, change: int) -> None:
         """Add `change` to the number of open and playing sessions of the connection."""
         connection = self.connections.get(conn)
         if connection is not None:
             connection.sessions = max(connection.sessions + change, 0)
-            self._update_idle(conn, connection)
+            self._update_groups(conn, connection)
+
+    def setup_opened(self, conn: int) -> None:
+        """A set-up was requested on the connection."""
+        connection = self.connections.get(conn)
+        if connection is not None:
+            connection.open_setups += 1
+            self._update_groups(conn, connection)
+
+    def setup_closed(self, conn: int, has_started: bool) -> None:
+        """A set-up of the connection has ended: its session has started, or it needs no answer any more."""
+        connection = self.connections.get(conn)
+        if connection is not None:
+            connection.open_setups = max(connection.open_setups - 1, 0)
+            connection.failed_setups += not has_started
+            self._update_groups(conn, connection)
 
     def record_protocol_error(self, conn: int) -> bool:
         """Count an invalid message. Return True if the connection must be closed after the answer."""
@@ -111,7 +155,7 @@
     def closed(self, conn: int) -> None:
         """Remove a closed connection."""
         if self.connections.pop(conn, None) is not None:
-            for group in (self._unproven, self._partial, self._idle):
+            for group in (self._unproven, self._partial, self._idle, self._standing):
                 group.pop(conn, None)
 
     def overdue(self, now: float) -> list[int]:
@@ -121,12 +165,17 @@
             self.closed(conn)
         return list(overdue)
 
-    def _update_idle(self, conn: int, connection: _Connection) -> None:
-        """Add the connection to the idle group or remove it from there."""
-        if connection.proven and not connection.sessions and not connection.partial_since:
-            self._idle.setdefault(conn, None)
-        else:
-            self._idle.pop(conn, None)
+    def _update_groups(self, conn: int, connection: _Connection) -> None:
+        """Add the connection to the idle or standing group or remove it from there."""
+        is_quiet = connection.proven and not connection.open_setups and not connection.partial_since
+        for group, is_member in (
+            (self._idle, is_quiet and not connection.sessions),
+            (self._standing, is_quiet and bool(connection.sessions)),
+        ):
+            if is_member:
+                group.setdefault(conn, None)
+            else:
+                group.pop(conn, None)
 
     def _overdue_unproven(self, now: float) -> list[int]:
         late = []
@@ -146,15 +195,15 @@
             late.append(conn)
         return late
 
-    def _evict(self, now: float) -> int:
-        """Remove one connection to make room for the others."""
-        conn = self._select_victim(now)
+    def _evict(self, now: float, victim: int | None = None) -> int:
+        """Remove one connection to make room for the others: `victim`, or the one that the rules select."""
+        conn = victim or self._select_victim(now) or self._select_busy()
         self.rejected += 1
         self.closed(conn)
         return conn
 
-    def _select_victim(self, now: float) -> int:
-        """Return the connection to evict, in the order given in the module docstring."""
+    def _select_victim(self, now: float) -> int | None:
+        """Return the connection to evict by rules 1 to 7 of the module docstring."""
         new = self._oldest_new()
         if new is not None and now - self.connections[new].opened_at >= FIRST_BYTE_GRACE_MS:
             return new
@@ -167,7 +216,24 @@
             return next(iter(self._idle))
         if new is not None:
             return new
-        return next((conn for conn in self._partial if not self.connections[conn].sessions), newcomer)
+        return self._select_without_setup()
+
+    def _select_without_setup(self) -> int | None:
+        """Return the connection to evict by rules 5 to 7."""
+        for conn in self._partial:
+            if not self.connections[conn].sessions:
+                return conn
+        if self._standing:
+            return next(iter(self._standing))
+        return next((conn for conn in self._partial if not self.connections[conn].open_setups), None)
+
+    def _select_busy(self) -> int:
+        """Return the connection to evict by rule 8: all have open set-ups, or may send one at once."""
+        return max(self.connections, key=self._burden)
+
+    def _burden(self, conn: int) -> tuple[int, int, int]:
+        connection = self.connections[conn]
+        return connection.open_setups, connection.failed_setups, conn
 
     def _oldest_new(self) -> int | None:
         """Return the oldest connection without a received byte; older unproven ones have begun a message."""
--- a/foxlift/platform/core.py
+++ b/foxlift/platform/core.py
@@ -23,7 +23,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from enum import Enum
 
@@ -197,7 +197,9 @@
                     self.counts["handover without a box"] += 1
                     self._release_viewer(found[0], tag, viewers.finish(tag, INTERRUPTED))
             case ev.ShutdownImminent():
-                self._answer_open_requests()
+                self._answer_requests(number for open_ in self._open_by_conn.values() for number in open_)
+            case ev.ViewerEvicted(conn):
+                self._answer_requests(self._open_by_conn.get(conn, ()))
             case ev.ListUpdated(update):
                 self._list_updated(update)
         return self._actions
@@ -281,7 +283,7 @@
         session = _Session(self._last_number, start.tag, conn, klass, _State.REQUESTED, start)
         self.sessions[session.number] = self._by_tag[start.tag] = session
         self._open_by_conn.setdefault(conn, set()).add(session.number)
-        self._actions.append(ev.ChangeViewerSessions(conn, 1))
+        self._actions += [ev.ChangeViewerSessions(conn, 1), ev.SetupOpened(conn)]
         self.counts["asked"] += 1
         self._send_releases(self.viewer_releases.session_requested(self._now, conn))
         self._notify_module(
@@ -375,14 +377,14 @@
         if not self.attempts.has_attempt(session.number):
             self.sessions.pop(session.number, None)
 
-    def _answer_open_requests(self) -> None:
+    def _answer_requests(self, numbers: Iterable[int]) -> None:
         """Answer open requests: FAILED if one may have run and must not be repeated, else REFUSED."""
-        for number in sorted(number for numbers in self._open_by_conn.values() for number in numbers):
+        for number in sorted(numbers):
             session = self.sessions[number]
             free = self.settings.classes[session.klass].repeat is fl.Repeat.FREE
             ran = session.server_conn != 0 or self._driver.may_have_run(number)
             cause = FAILED if ran and not free else REFUSED
-            self.counts["answered as the process ends"] += 1
+            self.counts["answered before its time"] += 1
             self._actions.append(ev.SendToViewer(session.conn, viewers.finish(session.tag, cause)))
             self._withdraw(session)
 
@@ -397,10 +399,13 @@
     def _request_answered(self, session: _Session) -> None:
         """Remove the set-up from the open ones: it has its one answer or needs none."""
         numbers = self._open_by_conn.get(session.conn)
-        if numbers is not None:
-            numbers.discard(session.number)
-            if not numbers:
-                del self._open_by_conn[session.conn]
+        if numbers is None or session.number not in numbers:
+            return
+        numbers.discard(session.number)
+        if not numbers:
+            del self._open_by_conn[session.conn]
+        has_started = session.state is _State.PLAYING
+        self._actions.append(ev.SetupClosed(session.conn, has_started))
 
     def _forget(self, session: _Session) -> None:
         self.sessions.pop(session.number, None)
--- a/foxlift/platform/events.py
+++ b/foxlift/platform/events.py
@@ -27,6 +27,13 @@
     conn: int
 
 
+@dataclass(frozen=True, slots=True)
+class ViewerEvicted:
+    """A viewer's connection is about to be closed in favour of others."""
+
+    conn: int
+
+
 @dataclass(frozen=True, slots=True)
 class ServerMessageReceived:
     """A server sent a message on one of its connections."""
@@ -91,6 +98,7 @@
 Event = (
     ViewerMessageReceived
     | ViewerDisconnected
+    | ViewerEvicted
     | ServerMessageReceived
     | ServerConnectionLost
     | SetupNotSent
@@ -120,6 +128,21 @@
     change: int
 
 
+@dataclass(frozen=True, slots=True)
+class SetupOpened:
+    """A set-up was requested on a viewer's connection."""
+
+    conn: int
+
+
+@dataclass(frozen=True, slots=True)
+class SetupClosed:
+    """A set-up of a viewer's connection was answered, or needs no answer any more."""
+
+    conn: int
+    has_started: bool
+
+
 @dataclass(frozen=True, slots=True)
 class RecordProtocolError:
     """Count an invalid message on a viewer's connection."""
@@ -204,6 +227,8 @@
 Action = (
     SendToViewer
     | ChangeViewerSessions
+    | SetupOpened
+    | SetupClosed
     | RecordProtocolError
     | QueueSetup
     | CancelSetup
--- a/foxlift/platform/transport.py
+++ b/foxlift/platform/transport.py
@@ -48,6 +48,7 @@
         self.discovery = Discovery(self, config, loop)
         self._clients: dict[int, ClientConnection] = {}
         self._last_client = 0
+        self._making_room = False  # whether `_make_room` is scheduled for an accepted connection
         self.write_blocked: set[ClientConnection] = set()  # clients whose write buffer is full
         self.closing = ClosingConnections()
         self._server: asyncio.Server | None = None
@@ -128,6 +129,8 @@
         if self._stop.state not in (State.SERVING, State.CHECKING):
             self._check_stop()
         self.after_reading(self._close_overdue)
+        if self.admission.is_over_bound:  # a fallen bound is reached as set-ups end
+            self.after_reading(self._make_room)
         now = self.timeline.now()
         self.servers.tick()
         if now >= self._summary_at:
@@ -214,6 +217,10 @@
                 self.servers.handle(node, pool_messages.SessionsChanged(count))
             case ev.ChangeViewerSessions(conn, change):
                 self.admission.sessions_changed(conn, change)
+            case ev.SetupOpened(conn):
+                self.admission.setup_opened(conn)
+            case ev.SetupClosed(conn, has_started):
+                self.admission.setup_closed(conn, has_started)
             case ev.AddServer(node, address):
                 self.servers.server_listed(node, address)
             case ev.RemoveServer(node):
@@ -244,8 +251,9 @@
         evicted = self.admission.opened(self.timeline.now(), self._last_client)
         if evicted is not None:
             self._close_client(evicted)
-        elif len(self.admission.connections) == self.admission.max_connections + 1:
+        elif self.admission.is_over_bound and not self._making_room:
             # after reading, so that a connection with a request that has already arrived is kept
+            self._making_room = True
             self.after_reading(self._make_room)
         return self._last_client
 
@@ -257,10 +265,13 @@
 
     def _make_room(self) -> None:
         """Close connections of clients down to the limit."""
+        self._making_room = False
         for number in self.admission.surplus(self.timeline.now()):
             self._close_client(number)
 
     def _close_client(self, number: int) -> None:
+        """Answer the open set-ups of a client and close its connection."""
+        self.notify_core(ev.ViewerEvicted(number))
         self._clients[number].close()
 
     def client_read(self) -> float:
@@ -290,7 +301,7 @@
 
     def client_share_changed(self, max_connections: int) -> None:
         """Set the maximum number of connections from clients after the number of servers has changed."""
-        self.admission.max_connections = max_connections
+        self.admission.change_bound(max_connections)
         self.after_reading(self._make_room)  # in case the maximum has fallen
 
     def _client_of(self, request: int) -> ClientConnection | None:
--- a/tests/test_platform_admission.py
+++ b/tests/test_platform_admission.py
@@ -5,6 +5,10 @@
 
 from __future__ import annotations
 
+import asyncio
+import random
+from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -13,7 +17,7 @@
 
 from foxlift.platform import descriptors
 from foxlift.platform.admission import FIRST_BYTE_GRACE_MS, MAX_OVERSHOOT, ConnectionAdmission
-from foxlift.standins.platform import Viewer, start_line
+from foxlift.standins.platform import StandInBox, Viewer, rtsp_answer, start_line
 
 MIN_SOCKETS = 64  # the smallest descriptor limit that the settings allow
 REQUEST = start_line(name(1))
@@ -74,15 +78,86 @@
     assert sum(1 for conn in closed if conn < 1000) == 25
 
 
-def test_connections_with_sessions_are_never_evicted() -> None:
+def test_the_connection_without_a_message_for_longest_is_evicted_if_all_have_sessions() -> None:
+    """Guards against closing the newcomer, whose request was read: sessions that play need no connection."""
     connections = admission(4, proven=4)
     for conn in range(1, 5):
         connections.sessions_changed(conn, 1)
+    connections.received(1, 1, proven=True, partial=False)
     connections.opened(10_000, 5)
-    assert connections.surplus(10_000) == [5]  # nothing else may be evicted
-    connections.sessions_changed(2, -1)
+    connections.received(10_000, 5, proven=True, partial=False)
+    connections.sessions_changed(5, 1)
+    connections.setup_opened(5)
+    assert connections.surplus(10_000) == [2]
+    connections.sessions_changed(3, -1)  # idle: evicted before those with sessions
     connections.opened(10_001, 6)
-    assert connections.surplus(10_001) == [2]
+    assert connections.surplus(10_001) == [3]
+
+
+def test_a_connection_with_an_open_set_up_is_evicted_last_and_the_busiest_first() -> None:
+    connections = admission(3, proven=3)
+    for conn, count in ((1, 1), (2, 3), (3, 1)):
+        for _ in range(count):
+            connections.setup_opened(conn)
+    connections.setup_opened(1)
+    connections.setup_closed(1, has_started=False)
+    connections.opened(10_000, 4)
+    assert connections.surplus(10_000) == [2]
+    connections.setup_opened(4)
+    connections.received(10_000, 4, proven=True, partial=False)
+    connections.opened(10_001, 5)
+    assert connections.surplus(10_001) == [1]  # of those with one, the one that had one fail
+
+
+def test_a_fallen_bound_closes_no_connection_with_an_open_set_up() -> None:
+    """Guards against closing connections without an answer when more servers are listed."""
+    connections = admission(6, proven=6)
+    for conn in range(1, 6):
+        connections.setup_opened(conn)
+    connections.change_bound(2)
+    assert connections.surplus(10_000) == [6]
+    assert connections.is_over_bound and not connections.surplus(10_100)
+    connections.opened(10_200, 7)  # for another, one is answered and closed: the one that has waited least
+    connections.received(10_200, 7, proven=True, partial=False)
+    connections.setup_opened(7)
+    assert connections.surplus(10_200) == [7]
+    for conn in list(connections.connections):
+        connections.setup_closed(conn, has_started=True)
+    assert len(connections.surplus(10_300)) == 3 and not connections.is_over_bound
+
+
+@pytest.mark.parametrize("seed", range(50))
+def test_the_bound_holds_and_open_set_ups_keep_their_connection_while_others_are_without(seed: int) -> None:
+    """Property over random clients: while any connection is without an open set-up, one such is closed."""
+    chance = random.Random(seed)
+    connections = ConnectionAdmission(12)
+    open_setups: dict[int, int] = {}
+    now = 0.0
+    for conn in range(1, 400):
+        now += chance.choice([0.0, 1.0, 40.0, 700.0])
+        without = {c for c, count in open_setups.items() if not count}
+        closed = connections.opened(now, conn)
+        open_setups[conn] = 0
+        for each in [closed] if closed is not None else []:
+            assert not open_setups.pop(each) or not without
+        for chosen in chance.sample(sorted(open_setups), min(3, len(open_setups))):
+            step = chance.randrange(4)
+            if step == 0:
+                connections.received(now, chosen, proven=False, partial=True)
+            else:
+                connections.received(now, chosen, proven=True, partial=False)
+            if step == 1:
+                connections.setup_opened(chosen)
+                connections.sessions_changed(chosen, 1)
+                open_setups[chosen] += 1
+            elif step == 2 and open_setups[chosen]:
+                connections.setup_closed(chosen, has_started=chance.random() < 0.5)
+                open_setups[chosen] -= 1
+        for each in connections.surplus(now):
+            had_setup = open_setups.pop(each) > 0
+            assert not had_setup or not any(not count for c, count in open_setups.items() if c != conn)
+        assert len(connections.connections) <= 12
+        assert set(open_setups) == set(connections.connections)
 
 
 def test_a_proven_client_with_a_partial_message_is_evicted_before_the_newcomer() -> None:
@@ -92,6 +167,7 @@
     connections.opened(10_001, 3)
     connections.received(10_001, 3, proven=True, partial=False)
     connections.sessions_changed(3, 1)
+    connections.setup_opened(3)
     assert connections.surplus(10_002) == [2]
 
 
@@ -194,3 +270,86 @@
                 sock.close()
 
     run_scenario(test)
+
+
+UNKNOWN = "00000000000000ff"  # a title that no server knows
+
+
+def refuse_unknown(server: StandInBox) -> Callable[[str, bytes, asyncio.StreamWriter], bool]:
+    """Let a server answer set-ups for the unknown title with an error."""
+
+    def behave(tag: str, body: bytes, writer: asyncio.StreamWriter) -> bool:
+        is_unknown = int(tag, 16) >= 10_000
+        if is_unknown:
+            writer.write(rtsp_answer(500, tag))
+        return is_unknown
+
+    return behave
+
+
+async def repeat_refused(world: Scene, viewer: Viewer, numbers: range) -> None:
+    """Request sessions of an unknown title, three at a time, and again as soon as one is refused."""
+    numbers_left = iter(numbers)
+    for _ in range(3):
+        viewer.send(start_line(name(next(numbers_left)), title=UNKNOWN))
+    with suppress(StopIteration):
+        while (message := await viewer.read()) is not None:
+            if message["verb"] == "FINISH":
+                viewer.send(start_line(name(next(numbers_left)), title=UNKNOWN))
+
+
+def test_requests_beside_bad_clients_at_the_bound_are_answered(tmp_path: Path) -> None:
+    """Guards against closing a connection whose request was read while others only have playing sessions."""
+
+    async def test() -> None:
+        async with scene(tmp_path, sockets=MIN_SOCKETS) as world:
+            for server in world.servers:
+                server.behave = refuse_unknown(server)
+            clients = await full(world)
+            for k, client in enumerate(clients):
+                client.send(start_line(name(300 + k)))
+                answer = await client.answer(name(300 + k))
+                assert answer is not None and answer["verb"] == "STARTED"
+            bad = [
+                asyncio.create_task(
+                    repeat_refused(world, await world.viewer(), range(10_000 * k, 10_000 * k + 2000))
+                )
+                for k in range(1, 9)
+            ]
+            verbs = []
+            for k in range(10):
+                usual = await world.viewer()
+                usual.send(start_line(name(500 + k)))
+                answer = await usual.answer(name(500 + k))
+                assert answer is not None, f"request {k} was closed without an answer"
+                verbs.append(answer["verb"])
+            assert "STARTED" in verbs
+            for task in bad:
+                task.cancel()
+
+    run_scenario(test)
+
+
+def test_open_set_ups_are_answered_before_their_connection_is_closed_for_others(tmp_path: Path) -> None:
+    """Guards against a close without an answer where every connection has an open set-up."""
+
+    async def test() -> None:
+        async with scene(tmp_path, sockets=MIN_SOCKETS) as world:
+            for server in world.servers:
+                server.behave = lambda tag, body, writer: True  # never answers
+            clients = await full(world)
+            for k, client in enumerate(clients):
+                for n in range(2 if k == 3 else 1):
+                    client.send(start_line(name(300 + 10 * k + n), "paid", opts={"left": "60000"}))
+            while world.director.core.unanswered <= len(clients):
+                await asyncio.sleep(0)
+            newcomer = await world.viewer()
+            newcomer.send(start_line(name(900), "paid", opts={"left": "60000"}))
+            for tag in (name(330), name(331)):
+                answer = await clients[3].read()
+                assert answer is not None and answer["tag"] == tag
+                assert (answer["verb"], answer["rc"]) in (("FINISH", 34), ("FINISH", 41))
+            assert await clients[3].read() is None
+            assert len(client_connections(world)) == len(clients)
+
+    run_scenario(test)
--- a/tests/test_platform_lines.py
+++ b/tests/test_platform_lines.py
@@ -412,10 +412,12 @@
     connections.received(6, 3, proven=True, partial=False)
     connections.sessions_changed(3, 1)
     connections.opened(7, 4)
-    assert connections.surplus(7) == [4]  # all others have sessions
-    connections.sessions_changed(1, -1)
+    assert connections.surplus(7) == [1]  # all others have sessions: the one without a message for longest
+    connections.received(7, 4, proven=True, partial=False)
+    connections.sessions_changed(4, 1)
+    connections.sessions_changed(3, -1)
     connections.opened(8, 5)
-    assert connections.surplus(8) == [1]
+    assert connections.surplus(8) == [3]
 
 
 def test_each_connection_of_a_burst_evicts_another() -> None:
