An answer completed by another session's message is not passed on

One answer stopped short, and the next message on the connection had exactly the missing length, so the reader took it for the rest. Change: foreign bytes that fit exactly hold the start of a message. The core counts these in an answer's body; more than in the viewer's own description close the connection as unreadable, and what was out on it fails or is repeated by class. A check in the reader would have let a viewer's text close a server's connection; this one doesn't (tested).

--- a/foxlift/platform/core.py
+++ b/foxlift/platform/core.py
@@ -646,6 +646,10 @@
         ):
             self.counts["answer that belongs to nothing"] += 1
             return
+        if self._holds_foreign_message(message, session):
+            self.counts["answer with another message in it"] += 1
+            self._actions.append(ev.CloseCorruptConnection(event.node, event.conn))
+            return
         number, attempt = session.number, session.attempts - 1
         load = self._reported_load(message.headers)
         if message.status != 200:
@@ -669,6 +673,15 @@
         self._actions.append(ev.SetupFinished(event.node, event.conn))
         self._attempt(at.Answered(number, attempt, True, fl.Outcome.OK, load=load))
 
+    def _holds_foreign_message(self, message: rtsp.Response, session: _Session) -> bool:
+        """Return whether a message begins in the body that is not part of the viewer's own text.
+
+        The body stopped short then, and what the server sent next was read as its missing part.
+        """
+        own_text = "" if session.start is None else session.start.description
+        starts = rtsp.count_message_starts(message.body)
+        return starts > 0 and starts > rtsp.count_message_starts(own_text.encode())
+
     def _reported_load(self, headers: dict[str, str]) -> fl.Load | None:
         """Return the columns named in the settings whose values are finite and not negative."""
         text = headers.get("link-state")
--- a/foxlift/platform/events.py
+++ b/foxlift/platform/events.py
@@ -176,6 +176,14 @@
     this_connection_only: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class CloseCorruptConnection:
+    """Close a server's connection whose messages are not separated correctly any more."""
+
+    node: int
+    conn: int
+
+
 @dataclass(frozen=True, slots=True)
 class SetupFinished:
     """A set-up that was sent on the connection has ended."""
@@ -233,6 +241,7 @@
     | QueueSetup
     | CancelSetup
     | SendToServer
+    | CloseCorruptConnection
     | SetupFinished
     | AddServer
     | RemoveServer
--- a/foxlift/platform/rtsp.py
+++ b/foxlift/platform/rtsp.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 
 MAX_MESSAGE_BYTES = 16 * 1024  # head and body together
@@ -23,6 +24,9 @@
     b"SET_PARAMETER ",
     b"REDIRECT ",
 )
+_MESSAGE_START = re.compile(
+    rb"RTSP/1\.0 \d{3}|(?:TEARDOWN|ANNOUNCE|OPTIONS|SETUP|SET_PARAMETER|REDIRECT) rtsp://media/"
+)
 _UNIQUE_HEADERS = frozenset(("cseq", "session", "content-length"))  # if repeated, a message is ambiguous
 
 
@@ -146,6 +150,15 @@
     return Request(first[0], cseq, session, headers, body)
 
 
+def count_message_starts(text: bytes) -> int:
+    """Return how often a message of this protocol begins in a text.
+
+    A body that stopped short is completed by the messages that follow it on the connection, which its text
+    does not show unless they begin in it.
+    """
+    return sum(1 for _ in _MESSAGE_START.finditer(text))
+
+
 def is_failed_ping(message: Message) -> bool:
     """Return whether the message answers a ping with an error."""
     return isinstance(message, Response) and message.cseq == PING_CSEQ and message.status != 200
--- a/foxlift/platform/server_connections.py
+++ b/foxlift/platform/server_connections.py
@@ -280,6 +280,13 @@
         waiting.append(data)
         self.handle(node, pool_messages.ConnectRequested())
 
+    def close_corrupt(self, node: int, conn: int) -> None:
+        """Close a connection that has received invalid data."""
+        connection = self.connections.get((node, conn))
+        if connection is not None:
+            self.connection_dropped(connection, corrupt=True)
+            connection.close()
+
     def connection_dropped(self, connection: ServerConnection, corrupt: bool) -> None:
         """A connection to a server has closed or is `corrupt`: it received invalid data."""
         if self.connections.get((connection.node, connection.number)) is not connection:
--- a/foxlift/platform/transport.py
+++ b/foxlift/platform/transport.py
@@ -211,6 +211,8 @@
                 self.servers.handle(node, pool_messages.SetupCancelled(number))
             case ev.SendToServer(node, conn, data, this_connection_only):
                 self.servers.send(node, conn, data, this_connection_only)
+            case ev.CloseCorruptConnection(node, conn):
+                self.servers.close_corrupt(node, conn)
             case ev.SetupFinished(node, conn, answer):
                 self.servers.handle(node, pool_messages.SlotReleased(conn, answer))
             case ev.SetSessionCount(node, count):
--- a/tests/test_platform_struck_connections.py
+++ b/tests/test_platform_struck_connections.py
@@ -96,6 +96,67 @@
     run_scenario(test)
 
 
+FOLLOWERS = {
+    "a note": rtsp_request("ANNOUNCE", name(1), "Fail-Word: link\r\nX-Reading: 0.5\r\n"),
+    "a release": rtsp_request("TEARDOWN", name(1), "Reason: cause=16\r\n"),
+    "two notes": 2 * rtsp_request("ANNOUNCE", name(1), "Fail-Word: link\r\nX-Reading: 0.5\r\n"),
+    "an answer": rtsp_answer(500, name(7)),
+}
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.05, 0.3])
+@pytest.mark.parametrize("follower", FOLLOWERS.values(), ids=FOLLOWERS)
+def test_an_answer_that_stops_short_is_not_completed_by_other_messages(
+    tmp_path: Path, follower: bytes, delay_s: float
+) -> None:
+    """Guards against a viewer that is served with another session's message in its description."""
+
+    def stop_short(tag: str, body: bytes, writer: asyncio.StreamWriter) -> bool:
+        if tag != name(2) or len(struck) > 1:
+            return False
+        struck.append(writer)
+        answer = rtsp_answer(200, tag, body + b"x" * len(follower))[: -len(follower)]
+        if delay_s:
+            writer.write(answer)
+            asyncio.get_running_loop().call_later(delay_s, writer.write, follower)
+        else:
+            writer.write(answer + follower)
+        return True
+
+    struck: list[asyncio.StreamWriter] = []
+
+    async def test() -> None:
+        async with scene(tmp_path, servers=1) as world:
+            struck.clear()
+            [server] = world.servers
+            viewer = await world.viewer()
+            viewer.send(start_line(name(1)))
+            assert await viewer.answer(name(1))
+            server.behave = stop_short
+            viewer.send(start_line(name(2), "paid", opts={"left": "8000"}))
+            answer = await viewer.answer(name(2))
+            assert answer is not None and (answer["verb"], answer["rc"]) == ("FINISH", 41)
+            assert struck == [server.writers[0]]
+            await until_closed(server, 1)  # what follows on this connection can't be trusted either
+
+    run_scenario(test)
+
+
+def test_a_viewers_own_text_may_hold_a_message(tmp_path: Path) -> None:
+    """Guards against viewers whose text closes the connections of other sessions."""
+
+    async def test() -> None:
+        async with scene(tmp_path, servers=1) as world:
+            viewer = await world.viewer()
+            text = "".join(follower.decode() for follower in FOLLOWERS.values())
+            viewer.send(start_line(name(1), "paid", blob=text))
+            answer = await viewer.answer(name(1))
+            assert answer is not None and answer["blob"] == f"box\r\n{text}"
+            assert not world.servers[0].ended
+
+    run_scenario(test)
+
+
 # ---- A set-up whose answer never comes ---------------------------------------------------------------------
 def test_a_connection_on_which_an_answer_is_missing_is_pinged_before_its_next_set_up() -> None:
     """Nothing may get through on it any more, and the next set-up would be lost on it too."""
