One client at full speed no longer keeps others from their answers; open set-ups bounded

All that one read brought was handled in one turn of the loop, and nothing bounded a client's open set-ups. Change: reads of 32 KB; 16 messages at once, then one portion a turn for all that wait, round robin; nothing is read from a client meanwhile, its set-ups wait for what it sent behind them, and those of one that has left are passed over. The pass over blocked clients after each event is gone.

--- a/foxlift/platform/client_connection.py
+++ b/foxlift/platform/client_connection.py
@@ -1,6 +1,7 @@
 """One connection from a client: parses received bytes into messages of `viewers`, writes, and closes.
 
-Nothing is read from a client that does not read; at `MAX_UNSENT_BYTES` its connection is aborted.
+Messages are handled in portions, between which the loop serves others (`backlogs`). Nothing is read from a
+client while messages of it wait, or while it does not read; at `MAX_UNSENT_BYTES` its connection is aborted.
 """
 
 from __future__ import annotations
@@ -14,10 +15,15 @@
 from foxlift.director.timeline import Timeline
 from foxlift.platform import events as ev
 from foxlift.platform import viewers
+from foxlift.platform.backlogs import Backlogs
 from foxlift.platform.buffers import HIGH_WATER_BYTES, MAX_UNSENT_BYTES
 from foxlift.platform.eviction import ClosingConnections
 from foxlift.platform.setups import ClientSocket
 
+READ_BYTES = 32 * 1024  # of one connection at once
+PORTION_MESSAGES = 16  # handled at once
+_read_buffer = memoryview(bytearray(READ_BYTES))  # for all connections: emptied by each read
+
 CLOSE_TIMEOUT_MS = 1000.0  # time for a client to receive unsent bytes before its connection is aborted
 
 
@@ -33,7 +39,7 @@
 
     count: Counter[str]
     timeline: Timeline
-    write_blocked: set[ClientConnection]
+    backlogs: Backlogs
     closing: ClosingConnections
 
     @property
@@ -62,7 +68,7 @@
         """A connection has closed."""
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """One connection from a client, for any number of viewers."""
 
     def __init__(self, director: ClientConnectionOwner) -> None:
@@ -71,6 +77,9 @@
         self.number = 0
         self.transport: asyncio.Transport | None = None
         self._write_blocked = self._reading_paused = False
+        self._is_waiting = False  # for its turn to handle messages that were read
+        self._read_at = self._unread_ms = 0.0  # the time of the last read, and how long its bytes were unread
+        self._when_handled: list[Callable[[], None]] = []
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Handle the opened connection."""
@@ -78,26 +87,80 @@
         self.transport.set_write_buffer_limits(high=HIGH_WATER_BYTES)
         self.number = self._director.client_opened(self)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read."""
+        return _read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle bytes that were read into the buffer."""
+        self.data_received(bytes(_read_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Handle bytes from the client."""
         if self.transport is None or self.transport.is_closing():
             return
-        waited_ms = self._director.client_read()
+        self._unread_ms = self._director.client_read()
+        self._read_at = self._director.timeline.now()
+        self._reader.add(data)
+        if not self._is_waiting and self.handle_portion():
+            self._wait_for_turn()
+
+    def _wait_for_turn(self) -> None:
+        self._is_waiting = True
+        self._director.backlogs.add(self)
+        self.update_reading()
+
+    def handle_portion(self) -> bool:
+        """Handle some of the messages that were read; return whether more can be handled now."""
         try:
-            for line in self._reader.feed(data):
-                message = viewers.read_line(line)
-                proven = message is not None and not isinstance(message, viewers.InvalidSetup)
-                self._director.client_received(self.number, proven, False)
-                if message is not None:
-                    self._director.notify_core(ev.ViewerMessageReceived(self.number, message, waited_ms))
-                if self.transport.is_closing():
-                    return
+            self._handle_messages()
         except viewers.ProtocolError:
             self._director.count["viewer unreadable"] += 1
             self.close()
+        has_more = not self.is_closing and self._reader.has_line
+        if not has_more:
+            self._turn_ended()
+        return has_more
+
+    def _handle_messages(self) -> None:
+        """Handle up to PORTION_MESSAGES. Raises ProtocolError."""
+        for _ in range(PORTION_MESSAGES):
+            line = None if self.is_closing else self._reader.next_line()
+            if line is None:
+                return
+            message = viewers.read_line(line)
+            proven = message is not None and not isinstance(message, viewers.InvalidSetup)
+            self._director.client_received(self.number, proven, False)
+            if message is not None:
+                self._handle(message)
+
+    def _handle(self, message: viewers.Event) -> None:
+        if self._is_waiting and isinstance(message, viewers.Start) and self._has_left():
+            self._director.count["set-up of a client that has left"] += 1
             return
-        if self._reader.pending:
+        waited_ms = self._unread_ms + self._director.timeline.now() - self._read_at
+        self._director.notify_core(ev.ViewerMessageReceived(self.number, message, waited_ms))
+
+    def _has_left(self) -> bool:
+        """Return whether the client has closed the connection, which is not read while messages wait."""
+        return self._poll_socket() is ClientSocket.END
+
+    def _turn_ended(self) -> None:
+        """All messages that were read are handled, or the connection closes."""
+        self._is_waiting = False
+        self.update_reading()
+        if self._reader.pending and not self.is_closing:
             self._director.client_received(self.number, False, True)
+        self._run_when_handled()
+
+    def when_handled(self, callback: Callable[[], None]) -> None:
+        """Call `callback` once all messages that were read are handled, or the connection closes."""
+        self._when_handled.append(callback)
+
+    def _run_when_handled(self) -> None:
+        callbacks, self._when_handled = self._when_handled, []
+        for callback in callbacks:
+            callback()
 
     def eof_received(self) -> None:
         """Handle the client's end of stream. The transport closes once everything is written, if ever."""
@@ -107,37 +170,35 @@
     def pause_writing(self) -> None:
         """The write buffer exceeds its limit: stop reading from the client once it has no open set-up."""
         self._write_blocked = True
-        self._director.write_blocked.add(self)
+        self.update_reading()
+
+    def resume_writing(self) -> None:
+        """The client has read enough: resume reading."""
+        self._write_blocked = False
         self.update_reading()
 
     def update_reading(self) -> None:
-        """Pause reading while too much is unsent, unless the client has an open set-up it may still cancel.
+        """Pause reading while messages wait to be handled, or while too much is unsent.
 
-        A set-up may follow in the same read that exceeded the limit; reading is then resumed.
+        A client with an open set-up may still cancel it, so only the former counts for it. A set-up may
+        follow in the read that exceeded the limit.
         """
-        if not self._write_blocked or self.transport is None or self.transport.is_closing():
+        if self.transport is None or self.transport.is_closing():
             return
-        pause = not self._director.core.open_requests(self.number)
+        may_cancel = self._director.core.open_requests(self.number) > 0
+        pause = self._is_waiting or (self._write_blocked and not may_cancel)
         if pause and not self._reading_paused:
             self.transport.pause_reading()
         elif self._reading_paused and not pause:
             self.transport.resume_reading()
         self._reading_paused = pause
 
-    def resume_writing(self) -> None:
-        """The client has read enough: resume reading."""
-        self._write_blocked = False
-        self._director.write_blocked.discard(self)
-        if self._reading_paused and self.transport is not None and not self.transport.is_closing():
-            self.transport.resume_reading()
-        self._reading_paused = False
-
     def connection_lost(self, error: Exception | None) -> None:
         """Handle the closed connection."""
         self.transport = None
-        self._director.write_blocked.discard(self)
         self._director.closing.discard(self)
         self._director.client_closed(self.number)
+        self._run_when_handled()
 
     def send(self, data: bytes) -> bool:
         """Write `data`. Return False if the connection is closed or aborted for unsent bytes."""
@@ -164,7 +225,12 @@
         return self.transport is None or self.transport.is_closing()
 
     def socket_state(self) -> ClientSocket:
-        """Return what is unread on the connection's socket."""
+        """Return what of the client is not handled yet: messages that were read, or what its socket holds."""
+        if self._is_waiting and not self.is_closing:
+            return ClientSocket.MESSAGES
+        return self._poll_socket()
+
+    def _poll_socket(self) -> ClientSocket:
         if self.transport is None or self.transport.is_closing():
             return ClientSocket.NOTHING
         poller = select.poll()
--- a/foxlift/platform/core.py
+++ b/foxlift/platform/core.py
@@ -33,6 +33,7 @@
 from foxlift.logic import Director
 from foxlift.platform import discovery_watch, pool_messages, rtsp, viewers
 from foxlift.platform import events as ev
+from foxlift.platform.open_setups import OpenSetups
 from foxlift.platform.pooled_connection import SetupAnswer
 from foxlift.platform.session_endings import EndSource, SessionEndings
 from foxlift.platform.settings import Address, Config, ListUpdate
@@ -105,7 +106,7 @@
         self._classes, self._tenants = config.class_names, config.tenant_names
         self._columns = config.columns
         self._by_tag: dict[str, _Session] = {}
-        self._open_by_conn: dict[int, set[int]] = {}  # by viewer's connection: open set-ups
+        self._open_setups = OpenSetups()
         self.viewer_releases = ViewerReleases()
         self.session_endings = SessionEndings()
         # by tag: handed-over sessions whose server is not listed yet
@@ -124,11 +125,11 @@
     @property
     def unanswered(self) -> int:
         """Number of open set-ups: accepted and not answered."""
-        return sum(len(numbers) for numbers in self._open_by_conn.values())
+        return self._open_setups.total
 
     def open_requests(self, conn: int) -> int:
         """Return the number of open set-ups of a viewer's connection."""
-        return len(self._open_by_conn.get(conn, ()))
+        return self._open_setups.count(conn)
 
     def connection_of(self, number: int) -> int:
         """Return the viewer's connection of a session; 0 if the session has ended."""
@@ -140,7 +141,7 @@
         return {
             "sessions": len(self.sessions),
             "ids": len(self._by_tag),
-            "connections": len(self._open_by_conn),
+            "connections": len(self._open_setups),
             "releases": len(self.viewer_releases),
             "handovers": len(self._handovers),
             "boxes": len(self._servers),
@@ -197,9 +198,9 @@
                     self.counts["handover without a box"] += 1
                     self._release_viewer(found[0], tag, viewers.finish(tag, INTERRUPTED))
             case ev.ShutdownImminent():
-                self._answer_requests(number for open_ in self._open_by_conn.values() for number in open_)
+                self._answer_requests(self._open_setups)
             case ev.ViewerEvicted(conn):
-                self._answer_requests(self._open_by_conn.get(conn, ()))
+                self._answer_requests(self._open_setups.of(conn))
             case ev.ListUpdated(update):
                 self._list_updated(update)
         return self._actions
@@ -278,11 +279,15 @@
             if not is_repetition:  # of a repetition, the first is answered
                 self._reject(conn, start.tag)
             return
+        if not self._open_setups.has_room(conn):
+            self.counts["too many open set-ups"] += 1
+            self._actions.append(ev.SendToViewer(conn, viewers.finish(start.tag, REFUSED)))
+            return
         self.session_endings.expire(self._now)
         self._last_number += 1
         session = _Session(self._last_number, start.tag, conn, klass, _State.REQUESTED, start)
         self.sessions[session.number] = self._by_tag[start.tag] = session
-        self._open_by_conn.setdefault(conn, set()).add(session.number)
+        self._open_setups.add(conn, session.number)
         self._actions += [ev.ChangeViewerSessions(conn, 1), ev.SetupOpened(conn)]
         self.counts["asked"] += 1
         self._send_releases(self.viewer_releases.session_requested(self._now, conn))
@@ -389,7 +394,7 @@
             self._withdraw(session)
 
     def _viewer_disconnected(self, conn: int) -> None:
-        for number in sorted(self._open_by_conn.get(conn, ())):
+        for number in sorted(self._open_setups.of(conn)):
             session = self.sessions.get(number)
             if session is not None:
                 self.counts["left with its connection"] += 1
@@ -398,14 +403,9 @@
 
     def _request_answered(self, session: _Session) -> None:
         """Remove the set-up from the open ones: it has its one answer or needs none."""
-        numbers = self._open_by_conn.get(session.conn)
-        if numbers is None or session.number not in numbers:
-            return
-        numbers.discard(session.number)
-        if not numbers:
-            del self._open_by_conn[session.conn]
-        has_started = session.state is _State.PLAYING
-        self._actions.append(ev.SetupClosed(session.conn, has_started))
+        if self._open_setups.remove(session.conn, session.number):
+            has_started = session.state is _State.PLAYING
+            self._actions.append(ev.SetupClosed(session.conn, has_started))
 
     def _forget(self, session: _Session) -> None:
         self.sessions.pop(session.number, None)
--- a/foxlift/platform/server_connections.py
+++ b/foxlift/platform/server_connections.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections import Counter, deque
+from collections.abc import Callable
 from typing import Protocol
 
 from foxlift.director.timeline import Timeline
@@ -52,7 +53,10 @@
         """Pass an event to the core."""
 
     def client_socket(self, request: int) -> ClientSocket:
-        """Return what is unread on the socket of a request's client."""
+        """Return what of a request's client is not handled yet."""
+
+    def when_client_handled(self, request: int, callback: Callable[[], None]) -> None:
+        """Call `callback` once all messages that were read from a request's client are handled."""
 
     def note_reset_client(self, request: int) -> None:
         """Notify the core if the request's client has reset its connection."""
@@ -77,7 +81,7 @@
         self.connections: dict[tuple[int, int], ServerConnection] = {}
         self.opening: dict[tuple[int, int], asyncio.Task[None]] = {}
         self.unsent: dict[int, deque[bytes]] = {}
-        self._setups = SetupQueue(loop, self._client_socket, self._write_setup)
+        self._setups = SetupQueue(loop, self._client_socket, self._when_handled, self._write_setup)
 
     # ---- For `ServerConnection` ---------------------------------------------------------------------------
     @property
@@ -236,6 +240,9 @@
     def _client_socket(self, setup: PendingSetup) -> ClientSocket:
         return self._director.client_socket(setup.request)
 
+    def _when_handled(self, setup: PendingSetup, callback: Callable[[], None]) -> None:
+        self._director.when_client_handled(setup.request, callback)
+
     def _write_setup(self, setup: PendingSetup) -> None:
         node, conn, key = setup.node, setup.connection, setup.request
         connection = self.connections.get((node, conn))
--- a/foxlift/platform/setups.py
+++ b/foxlift/platform/setups.py
@@ -7,6 +7,9 @@
     READING  the same, but the client's socket has an     QUEUED   none: the next iterations read it
              unread end of stream or error, or any
              unread bytes after MAX_READING_AGE_MS
+    READING  the same, but messages of the client that    HELD     none
+             were read are not handled yet
+    HELD     all messages of the client are handled       QUEUED   none
 
 No attempt may be made for a client that has left, and its cancel or end of stream may still be unread when
 its set-up becomes ready to be written. Each set-up therefore waits for one complete pass over the sockets
@@ -25,14 +28,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from functools import partial
 
 MAX_READING_AGE_MS = 80.0  # no attempt for a client that left 100 ms ago; 20 ms remain for the write
 
 
 class ClientSocket(Enum):
-    """What is unread on a client's socket."""
+    """What of a client is not handled yet."""
 
     NOTHING = "nothing"
+    MESSAGES = "messages that were read and are not handled yet"
     BYTES = "bytes"
     END = "the end of the connection, or an error"
 
@@ -49,16 +54,19 @@
 class SetupQueue:
     """Writes each set-up once its client's socket has been read.
 
-    `client_socket` returns what is currently unread on the socket of a set-up's client.
+    `client_socket` returns what of a set-up's client is not handled yet; `when_handled` calls a function once
+    all messages of the client that were read are handled.
     """
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
         client_socket: Callable[[PendingSetup], ClientSocket],
+        when_handled: Callable[[PendingSetup, Callable[[], None]], None],
         write: Callable[[PendingSetup], None],
     ) -> None:
         self._loop, self._client_socket, self._write = loop, client_socket, write
+        self._when_handled = when_handled
         self._queued: list[PendingSetup] = []
 
     def add(self, setup: PendingSetup) -> None:
@@ -74,13 +82,16 @@
 
     def _after_reading(self, setups: list[PendingSetup], began_s: float) -> None:
         for setup in setups:
-            if self._may_have_left(setup, began_s):
+            unread = self._client_socket(setup)
+            if unread is ClientSocket.MESSAGES:
+                self._when_handled(setup, partial(self.add, setup))
+            elif self._may_have_left(unread, began_s):
                 self.add(setup)
             else:
                 self._write(setup)
 
-    def _may_have_left(self, setup: PendingSetup, began_s: float) -> bool:
-        unread = self._client_socket(setup)
+    @staticmethod
+    def _may_have_left(unread: ClientSocket, began_s: float) -> bool:
         if unread is ClientSocket.BYTES:
             return (time.monotonic() - began_s) * 1000 > MAX_READING_AGE_MS
         return unread is ClientSocket.END
--- a/foxlift/platform/transport.py
+++ b/foxlift/platform/transport.py
@@ -16,6 +16,7 @@
 from foxlift.platform import descriptors, discovery_watch, pool_messages
 from foxlift.platform import events as ev
 from foxlift.platform.admission import ConnectionAdmission
+from foxlift.platform.backlogs import Backlogs
 from foxlift.platform.client_connection import ClientConnection
 from foxlift.platform.core import Core
 from foxlift.platform.discovery import Discovery
@@ -49,7 +50,7 @@
         self._clients: dict[int, ClientConnection] = {}
         self._last_client = 0
         self._making_room = False  # whether `_make_room` is scheduled for an accepted connection
-        self.write_blocked: set[ClientConnection] = set()  # clients whose write buffer is full
+        self.backlogs = Backlogs(loop.call_soon)
         self.closing = ClosingConnections()
         self._server: asyncio.Server | None = None
         self._stop = GracefulStop(klass.deadline_ms for klass in config.module.classes)
@@ -193,8 +194,6 @@
         self.lag()
         for action in self.core.handle(self.timeline.now(), event):
             self._carry_out(action)
-        for client in tuple(self.write_blocked):
-            client.update_reading()
         self._lag.work_ends(time.monotonic() * 1000)
 
     def _carry_out(self, action: ev.Action) -> None:
@@ -221,8 +220,10 @@
                 self.admission.sessions_changed(conn, change)
             case ev.SetupOpened(conn):
                 self.admission.setup_opened(conn)
+                self._update_reading(conn)
             case ev.SetupClosed(conn, has_started):
                 self.admission.setup_closed(conn, has_started)
+                self._update_reading(conn)
             case ev.AddServer(node, address):
                 self.servers.server_listed(node, address)
             case ev.RemoveServer(node):
@@ -235,6 +236,11 @@
             case ev.WriteLog(log_event, detail):
                 self.log.write(log_event, detail)
 
+    def _update_reading(self, conn: int) -> None:
+        client = self._clients.get(conn)
+        if client is not None:
+            client.update_reading()
+
     def after_reading(self, callback: Callable[[], None]) -> None:
         """Call `callback` once everything that has arrived by now is read.
 
@@ -310,10 +316,18 @@
         return self._clients.get(self.core.connection_of(request))
 
     def client_socket(self, request: int) -> ClientSocket:
-        """Return what is unread on the socket of a request's client."""
+        """Return what of a request's client is not handled yet."""
         client = self._client_of(request)
         return ClientSocket.NOTHING if client is None else client.socket_state()
 
+    def when_client_handled(self, request: int, callback: Callable[[], None]) -> None:
+        """Call `callback` once all messages that were read from a request's client are handled."""
+        client = self._client_of(request)
+        if client is None:
+            callback()
+        else:
+            client.when_handled(callback)
+
     def note_reset_client(self, request: int) -> None:
         """Notify the core if the request's client has reset its connection.
 
--- a/foxlift/platform/viewers.py
+++ b/foxlift/platform/viewers.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 import msgspec
@@ -90,37 +90,48 @@
 _encode = msgspec.json.Encoder().encode
 
 
-@dataclass(slots=True)
 class LineReader:
     """Splits the bytes of one viewer's connection into lines."""
 
-    _buffer: bytearray = field(default_factory=bytearray)
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+        self._start = 0  # of the first line that was not returned
 
     @property
     def pending(self) -> int:
-        """Number of bytes of an incomplete line."""
-        return len(self._buffer)
+        """Number of bytes that were not returned."""
+        return len(self._buffer) - self._start
 
-    def feed(self, data: bytes) -> list[bytes]:
-        """Add bytes and return the complete lines. Raises ProtocolError if one is too long."""
-        if (
-            not self._buffer
-            and data.endswith(b"\n")
-            and len(data) <= MAX_LINE_BYTES
-            and data.count(b"\n") == 1
-        ):
-            return [data]
+    def add(self, data: bytes) -> None:
+        """Add bytes of the connection."""
+        del self._buffer[: self._start]
+        self._start = 0
         self._buffer += data
-        lines: list[bytes] = []
-        start = 0
-        while (end := self._buffer.find(b"\n", start)) >= 0:
-            if end + 1 - start > MAX_LINE_BYTES:
-                raise ProtocolError("line over 16 KiB")
-            lines.append(bytes(self._buffer[start : end + 1]))
-            start = end + 1
-        del self._buffer[:start]
-        if len(self._buffer) >= MAX_LINE_BYTES:
+
+    def next_line(self) -> bytes | None:
+        """Return the next complete line, or None. Raises ProtocolError if it is too long."""
+        end = self._buffer.find(b"\n", self._start, self._start + MAX_LINE_BYTES) + 1
+        if end:
+            line = bytes(self._buffer[self._start : end])
+            self._start = end
+            return line
+        if self.pending >= MAX_LINE_BYTES:
             raise ProtocolError("line over 16 KiB")
+        return None
+
+    @property
+    def has_line(self) -> bool:
+        """Whether `next_line` has something to return or to raise."""
+        if self.pending >= MAX_LINE_BYTES:
+            return True
+        return self._buffer.find(b"\n", self._start) >= 0
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Add bytes and return all complete lines. Raises ProtocolError if one is too long."""
+        self.add(data)
+        lines: list[bytes] = []
+        while (line := self.next_line()) is not None:
+            lines.append(line)
         return lines
 
 
