--- a/foxlift/platform/core.py
+++ b/foxlift/platform/core.py
@@ -38,6 +38,7 @@
 from foxlift.platform.session_endings import EndSource, SessionEndings
 from foxlift.platform.settings import Address, Config, ListUpdate
 from foxlift.platform.setup_ranges import invalid_figure
+from foxlift.platform.used_tags import UsedTags
 from foxlift.platform.viewer_releases import ViewerReleases, Write
 from foxlift.wiresettings import LOAD_FIELDS
 
@@ -107,6 +108,7 @@
         self._columns = config.columns
         self._by_tag: dict[str, _Session] = {}
         self._open_setups = OpenSetups()
+        self._used_tags = UsedTags()
         self.viewer_releases = ViewerReleases()
         self.session_endings = SessionEndings()
         # by tag: handed-over sessions whose server is not listed yet
@@ -212,6 +214,7 @@
         if session is None or now >= self.attempts.timeout_at(number):
             return None  # its time limit passed as the connection opened
         session.server_conn, session.sent_at = conn, now
+        self._used_tags.add(now, session.tag)
         self._in_flight_on.setdefault((node, conn), set()).add(number)
         remaining_ms = max(self.attempts.timeout_at(number) - now, 1.0)
         klass = self.settings.classes[session.klass].name
@@ -279,6 +282,10 @@
             if not is_repetition:  # of a repetition, the first is answered
                 self._reject(conn, start.tag)
             return
+        if self._used_tags.contains(self._now, start.tag):
+            self.counts["id used before"] += 1
+            self._reject(conn, start.tag)
+            return
         if not self._open_setups.has_room(conn):
             self.counts["too many open set-ups"] += 1
             self._actions.append(ev.SendToViewer(conn, viewers.finish(start.tag, REFUSED)))
@@ -545,6 +552,7 @@
             self._session_stopped(ended.session, ended.node)
             self.counts["ended, " + ended.outcome.value] += 1
             self.session_endings.record_end(self._now, session.tag, EndSource.EARLIER)
+            self._used_tags.add(self._now, session.tag)
             if ended.outcome is not fl.Outcome.CANCELLED:
                 cause = NORMAL if ended.outcome is fl.Outcome.OK else INTERRUPTED
                 self._release_viewer(session.conn, session.tag, viewers.finish(session.tag, cause))
--- a/tests/test_platform_turns.py
+++ b/tests/test_platform_turns.py
@@ -25,6 +25,7 @@
     PausedTooLongError,
     Scene,
     client_connections,
+    is_sent,
     name,
     process,
     run_scenario,
@@ -35,6 +36,7 @@
 
 from foxlift.platform import admission, pool_messages
 from foxlift.platform.buffers import HIGH_WATER_BYTES
+from foxlift.platform.used_tags import UsedTags
 from foxlift.standins.platform import (
     StandInBox,
     StandInCoordinator,
@@ -216,6 +218,9 @@
             viewer.send(start_line(name(1), opts=LONG_TIME))
             await server.until(lambda: len(out) == 1)
             viewer.send(finish_line(name(1)))
+            while world.director.core.unanswered:
+                await asyncio.sleep(0)
+            world.director.core._used_tags = UsedTags()  # as if its retention time had passed
             viewer.send(start_line(name(1), opts=LONG_TIME, blob="another"))
             await server.until(lambda: len(out) == 2)
             (_, old, writer), (_, new, again) = out
@@ -235,6 +240,40 @@
     run_scenario(test)
 
 
+@pytest.mark.parametrize("klass", ["paid", "free"])
+@pytest.mark.parametrize("how", ["close", "reset", "cancel"])
+def test_a_tag_that_comes_again_after_its_client_left_is_not_set_up_again(
+    tmp_path: Path, how: str, klass: str
+) -> None:
+    """Guards against a set-up that runs twice: the first one may still be on its way or be playing."""
+
+    async def test() -> None:
+        async with scene(tmp_path) as world:
+            viewer = await world.viewer()
+            outs = [accept_silently(server, name(1)) for server in world.servers]
+            viewer.send(start_line(name(1), klass, opts=LONG_TIME))
+            while not is_sent(world, name(1)):
+                await asyncio.sleep(0)
+            if how == "cancel":
+                viewer.send(finish_line(name(1)))
+            elif how == "reset":
+                reset(viewer.writer)
+            else:
+                viewer.close()
+            again = await world.viewer()
+            while world.director.core.unanswered:
+                await asyncio.sleep(0)
+            again.send(start_line(name(1), klass, opts=LONG_TIME))
+            answer = await again.answer(name(1))
+            assert answer is not None and (answer["verb"], answer["rc"]) == ("FINISH", 96)
+            for tag, body, writer in (setup for out in outs for setup in out):
+                write_now(writer, rtsp_answer(200, tag, b"box\r\n" + body))
+            await serve_another(world, 2)
+            assert sent(world, 1) == 1 and not await messages_received(again, 99)
+
+    run_scenario(test)
+
+
 # ---- Held by the module -----------------------------------------------------------------------------------
 @left_by
 def test_a_client_leaves_while_the_module_holds_its_request(tmp_path: Path, leave: str) -> None:
