--- a/tests/test_platform_crossings.py
+++ b/tests/test_platform_crossings.py
@@ -20,6 +20,7 @@
 from typing import Any
 
 import pytest
+from pauses import PauseClock
 from platform_world import config, member, settings
 from ports import free_address
 from test_platform_sockets import (
@@ -36,7 +37,6 @@
     send_more,
     stop_reading,
     unsent,
-    wait_without_sleep,
 )
 
 from foxlift.platform import pool_messages, stop
@@ -273,9 +273,12 @@
         PausedTooLongError: a pause of the process used up the time of its attempt before it was sent.
     """
     later = await world.viewer()
-    later.send(start_line(name(number), opts={"left": str(left_ms)}))
-    answer = asyncio.ensure_future(later.answer(name(number)))
-    paused_ms = await wait_without_sleep(answer.done)
+    with PauseClock() as clock:
+        await clock.before_request()
+        later.send(start_line(name(number), opts={"left": str(left_ms)}))
+        answer = asyncio.ensure_future(later.answer(name(number)))
+        await clock.wait(answer.done)
+        paused_ms = clock.paused_ms()
     message = answer.result()
     if paused_ms >= ATTEMPT_MS / 2 and not is_sent(world, name(number)):
         raise PausedTooLongError(f"the later session was not sent: paused for {paused_ms} ms")
--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
 import os
 import signal
@@ -20,6 +21,7 @@
 
 import pytest
 import uvloop
+from pauses import PauseClock, leave_out_earlier_objects
 from platform_world import config, member
 from ports import free_address
 
@@ -101,20 +103,8 @@
     """A pause of the process used up the time limit of a request, so the scenario did not take place."""
 
 
-async def wait_without_sleep(done: Callable[[], bool]) -> float:
-    """Wait until `done()` and return for how long the process did not run meanwhile, in ms.
-
-    The loop does not sleep, so all time beside its processor time is a pause.
-    """
-    began_s, began_processor_s = time.monotonic(), time.process_time()
-    while not done():
-        await asyncio.sleep(0)
-    elapsed_s = time.monotonic() - began_s
-    return (elapsed_s - (time.process_time() - began_processor_s)) * 1000
-
-
-async def until_sent(world: Scene, tag: str, limit_ms: float) -> None:
-    """Wait until a server receives the set-up of a request that was sent just now with this time limit.
+async def send_in_time(world: Scene, viewer: Viewer, request: bytes, limit_ms: float) -> None:
+    """Send a request with this time limit, and wait until a server receives its set-up.
 
     The director runs in this process: a pause may use up the time limit, and it is right to refuse the
     request then.
@@ -122,11 +112,16 @@
     Raises:
         PausedTooLongError: no set-up was received within the time limit, half of which was a pause.
     """
-    end_s = time.monotonic() + limit_ms / 1000
-    paused_ms = await wait_without_sleep(lambda: is_sent(world, tag) or time.monotonic() >= end_s)
-    if not is_sent(world, tag):
-        assert paused_ms >= limit_ms / 2, f"no set-up of {tag} within {limit_ms} ms"
-        raise PausedTooLongError(f"paused for {paused_ms} ms of {limit_ms}")
+    tag = json.loads(request)["tag"]
+    with PauseClock() as clock:
+        await clock.before_request()
+        viewer.send(request)
+        end_s = time.monotonic() + limit_ms / 1000
+        await clock.wait(lambda: is_sent(world, tag) or time.monotonic() >= end_s)
+        if not is_sent(world, tag):
+            paused_ms = clock.paused_ms()
+            assert paused_ms >= limit_ms / 2, f"no set-up of {tag} within {limit_ms} ms"
+            raise PausedTooLongError(f"paused for {paused_ms} ms of {limit_ms}")
 
 
 def is_sent(world: Scene, tag: str) -> bool:
@@ -141,11 +136,43 @@
         await asyncio.wait_for(test(), 40)
 
     for _ in range(MAX_PLAYS - 1):
+        leave_out_earlier_objects()
         with suppress(PausedTooLongError):
             return uvloop.run(run())
+    leave_out_earlier_objects()
     uvloop.run(run())
 
 
+def test_collections_count_as_a_pause_and_work_does_not() -> None:
+    """Guards against scenarios that fail because a collection took the time limit of a request."""
+
+    async def test() -> None:
+        heap: list[list[list[int]]] = [
+            [[] for _ in range(10)] for _ in range(200_000)
+        ]  # a collection of these takes tens of ms
+        began_s = time.process_time()
+        gc.collect()
+        collection_ms = (time.process_time() - began_s) * 1000
+        collections = 0
+
+        def collect_twice() -> bool:
+            nonlocal collections
+            gc.collect()
+            collections += 1
+            return collections == 2
+
+        assert heap and collection_ms > 5
+        with PauseClock() as clock:
+            await clock.wait(collect_twice)
+            assert clock.paused_ms() > collection_ms
+        began_s, busy_until_s = time.monotonic(), time.process_time() + 0.2
+        with PauseClock() as clock:
+            await clock.wait(lambda: time.process_time() >= busy_until_s)
+            assert clock.paused_ms() < (time.monotonic() - began_s) * 1000 - 150
+
+    run_scenario(test)
+
+
 def test_a_session_from_set_up_to_release_on_sockets(tmp_path: Path) -> None:
     async def test() -> None:
         async with scene(tmp_path) as world:
@@ -371,8 +398,7 @@
             viewer = await world.viewer()
             for server in world.servers:
                 server.behave = lambda tag, body, writer: tag == name(1)  # does not answer this set-up
-            viewer.send(start_line(name(1), "paid", opts={"left": "150"}))
-            await until_sent(world, name(1), 150)
+            await send_in_time(world, viewer, start_line(name(1), "paid", opts={"left": "150"}), 150)
             answer = await viewer.answer(name(1))
             assert answer is not None and (answer["verb"], answer["rc"]) == ("FINISH", 41)
             server = world.server_of(name(1))
--- a/tests/test_platform_struck_connections.py
+++ b/tests/test_platform_struck_connections.py
@@ -11,7 +11,7 @@
 
 import pytest
 from test_platform_lines import make_pool
-from test_platform_sockets import name, run_scenario, scene, until_sent
+from test_platform_sockets import name, run_scenario, scene, send_in_time
 from test_platform_turns import write_now
 
 from foxlift.platform import pool_messages, pooled_connection, server_pool
@@ -215,8 +215,7 @@
             viewer = await world.viewer()
             [server] = world.servers
             strike_at(server, name(1))
-            viewer.send(start_line(name(1), "paid", opts={"left": "300"}))
-            await until_sent(world, name(1), 300)
+            await send_in_time(world, viewer, start_line(name(1), "paid", opts={"left": "300"}), 300)
             answer = await viewer.answer(name(1))
             assert answer is not None and (answer["verb"], answer["rc"]) == ("FINISH", 41)
             viewer.send(start_line(name(2), "paid"))
@@ -399,8 +398,7 @@
                 server.writers[0].transport.abort()
             else:
                 server.behave = spoil
-                viewer.send(start_line(name(4), "paid", opts={"left": "300"}))
-                await until_sent(world, name(4), 300)
+                await send_in_time(world, viewer, start_line(name(4), "paid", opts={"left": "300"}), 300)
             # the release is lost here; other connections stay up, and traffic goes on there
             await server.until(lambda: len(server.writers) == 4)
             server.writers[3].write(rtsp_request("TEARDOWN", name(1), "Reason: cause=16\r\n"))
--- a/tests/test_platform_turns.py
+++ b/tests/test_platform_turns.py
@@ -18,6 +18,7 @@
 from typing import Any
 
 import pytest
+from pauses import PauseClock
 from platform_world import config, member, settings
 from ports import free_address
 from test_platform_crossings import Leaver, left_by, push, sent, serve_another, stall_loop
@@ -30,8 +31,7 @@
     process,
     run_scenario,
     scene,
-    until_sent,
-    wait_without_sleep,
+    send_in_time,
 )
 
 from foxlift.platform import admission, pool_messages
@@ -119,8 +119,7 @@
             other.send(start_line(name(8)))
             assert await other.answer(name(8))
             out = accept_silently(server, name(1))
-            viewer.send(start_line(name(1), klass, opts={"left": "60"}))
-            await until_sent(world, name(1), 60)
+            await send_in_time(world, viewer, start_line(name(1), klass, opts={"left": "60"}), 60)
             [(_, body, writer)] = out
             core, paused = world.director.core, False
             session = core._by_tag.get(name(1))
@@ -544,9 +543,13 @@
             director.servers._connect = late  # type: ignore[method-assign]
             director.servers.connection_opened = open_after_stall  # type: ignore[method-assign]
             viewer = await world.viewer()
-            viewer.send(start_line(name(1), klass, opts={"left": "100"}))
-            end_s, opening = time.monotonic() + 0.1, director.servers.opening
-            paused_ms = await wait_without_sleep(lambda: bool(opening) or time.monotonic() >= end_s)
+            opening = director.servers.opening
+            with PauseClock() as clock:
+                await clock.before_request()
+                viewer.send(start_line(name(1), klass, opts={"left": "100"}))
+                end_s = time.monotonic() + 0.1
+                await clock.wait(lambda: bool(opening) or time.monotonic() >= end_s)
+                paused_ms = clock.paused_ms()
             if not opening:
                 assert paused_ms >= 50
                 raise PausedTooLongError("the time limit passed before a connection was opened")
