Sessions set up at a new process under its address's old id are released there

When the list told of it, these sessions were ended as lost without a word to the process that runs them, so a viewer that came again had its work run twice. Change: sessions that may have begun there, by the start that the list states, are released at the successor, too.

--- a/foxlift/platform/core.py
+++ b/foxlift/platform/core.py
@@ -48,6 +48,7 @@
 HANDOVER_TIMEOUT_MS = (
     discovery_watch.SILENCE_TIMEOUT_MS + discovery_watch.CONNECT_TIMEOUT_MS + discovery_watch.MAX_BACKOFF_MS
 )
+CLOCK_MARGIN_MS = 1000.0  # between the clocks of this process and of the list's start times
 MAX_HANDOVERS = 4096  # waiting at the same time
 
 _REFUSAL_OUTCOMES = {453: fl.Outcome.FULL, 454: fl.Outcome.NEVER_SENT, 504: fl.Outcome.RESET}  # others: ERROR
@@ -724,7 +725,7 @@
         self.list_received |= update.full
         unavailable: list[tuple[int, bool]] = []
         restarted: list[int] = []
-        displaced: list[int] = []
+        displaced: list[tuple[int, int]] = []  # with the server that has the address now
         infos = [server.info for server in update.servers]
         if update.full:
             named = {server.info.node for server in update.servers}
@@ -740,7 +741,7 @@
             other = self._node_at.get(server.address, info.node)
             if other != info.node:
                 # the address belongs to another server now, so its former server and sessions are lost
-                displaced.append(other)
+                displaced.append((other, info.node))
                 if other in self._servers:
                     infos.append(replace(self._servers[other], status=fl.Status.GONE))
                     unavailable.append((other, True))
@@ -765,9 +766,10 @@
             self._attempt(at.BoxDraining(node, is_gone))
         for node in restarted:
             self._server_restarted(node)
-        for node in displaced:
+        for node, successor in displaced:
             self._forget_address(node)
             self.counts["box lost, address taken"] += 1
+            self._release_at_successor(node, successor)
             self._attempt(at.BoxLost(node))
         for tag, (conn, start) in list(self._handovers.items()):
             if start.plays_at is not None and start.plays_at in self._servers:
@@ -781,6 +783,21 @@
         if address is not None and self._node_at.get(address) == node:
             del self._node_at[address]
 
+    def _release_at_successor(self, node: int, successor: int) -> None:
+        """Release the sessions of a lost server at the one that has its address now.
+
+        Set-ups that were sent to the address before the list told of the new process may play there. Their
+        viewers are told that they are over.
+        """
+        info = self._servers.get(successor)
+        if info is None:
+            return  # its address has been given to yet another server
+        since = info.started_ms - CLOCK_MARGIN_MS if info.started_ms else 0.0
+        for number in sorted(self._playing.get(node, ())):
+            session = self.sessions[number]
+            if session.playing_since >= since:
+                self._send_release(successor, 0, session.tag, rtsp.release(session.tag, INTERRUPTED))
+
     def _server_restarted(self, node: int) -> None:
         """End the sessions that played at the server before it restarted."""
         info = self._servers.get(node)
--- a/foxlift/standins/platform.py
+++ b/foxlift/standins/platform.py
@@ -70,6 +70,13 @@
         self.address = f"127.0.0.1:{self._held_port.port}"
         return self
 
+    async def start_in_place_of(self, former: StandInBox) -> StandInBox:
+        """Start as a new process at the address of one that has stopped."""
+        host, port = former.address.split(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port), reuse_address=True)
+        self.address = former.address
+        return self
+
     async def stop(self) -> None:
         """Die as a process does: the listener goes, connections are reset."""
         if self._server is not None:
