--- a/tests/test_platform_floods.py
+++ b/tests/test_platform_floods.py
@@ -209,3 +209,37 @@
             playing.close()
 
     run_scenario(test)
+
+
+SLOW_CLIENTS = 300
+SLOW_BYTES = {
+    "half of a large request": start_line(name(1), blob="x" * 15_000)[:-5000],
+    "very many short fields": start_line(name(1), opts={f"f{k}": "" for k in range(1200)})[:-2],
+    "very many short fields, complete": start_line(name(1), opts={f"f{k}": "" for k in range(1200)}),
+}
+
+
+@pytest.mark.parametrize("data", SLOW_BYTES.values(), ids=SLOW_BYTES)
+def test_hundreds_of_slow_clients_take_little_memory_and_usual_ones_are_served(
+    tmp_path: Path, data: bytes
+) -> None:
+    """Guards against memory that grows with the clients that write slowly or stop half way."""
+
+    async def test() -> None:
+        async with running_director(tmp_path) as (director, address):
+            before = most = memory_mb(director.pid)
+            slow: list[Viewer] = []
+            answers = []
+            for k in range(SLOW_CLIENTS):
+                with suppress(OSError):
+                    slow.append(await Viewer.connect(address))
+                    slow[-1].send(data)
+                if k % 50 == 49:
+                    answers.append(await request(address, name(1000 + k)))
+                    most = max(most, memory_mb(director.pid))
+            assert set(answers) <= {"STARTED", "FINISH"}
+            assert most - before < EXTRA_MEMORY_MB
+            for viewer in slow:
+                viewer.close()
+
+    run_scenario(test)
