Silence counts only while a media node is asked; nodes wait their turn for descriptors

Change: time without a connection for want of a descriptor is no silence; nodes that wait come first in a tick, longest waiting first; after a search for a connection to give up that found none, no other is made in that tick. Fleets over 400 nodes weren't run.

--- a/foxlift/platform/eviction.py
+++ b/foxlift/platform/eviction.py
@@ -48,6 +48,18 @@
     return min(idle, key=lambda each: each[:2])[2] if idle else None
 
 
+def turn_order(servers: Mapping[int, ServerPool]) -> list[int]:
+    """Return the servers in the order in which they may open connections: those that wait longest first."""
+    waiting: list[tuple[float, int]] = []
+    others: list[int] = []
+    for node, server in servers.items():
+        if server.waits_since is None:
+            others.append(node)
+        else:
+            waiting.append((server.waits_since, node))
+    return [node for _, node in sorted(waiting)] + others
+
+
 class Abortable(Protocol):
     """A connection that can be aborted."""
 
--- a/foxlift/platform/pool_messages.py
+++ b/foxlift/platform/pool_messages.py
@@ -86,6 +86,13 @@
     conn: int
 
 
+@dataclass(frozen=True, slots=True)
+class NoDescriptor:
+    """The connection was not opened: all descriptors for servers are in use."""
+
+    conn: int
+
+
 @dataclass(frozen=True, slots=True)
 class ServerListed:
     """The list names the server, possibly again. `moved`: at another address than before."""
@@ -110,6 +117,7 @@
     | SessionsChanged
     | ServerRemoved
     | ConnectionYielded
+    | NoDescriptor
     | ServerListed
     | Tick
 )
--- a/foxlift/platform/server_connections.py
+++ b/foxlift/platform/server_connections.py
@@ -14,7 +14,7 @@
 from foxlift.director.timeline import Timeline
 from foxlift.platform import descriptors, pool_messages, rtsp, server_pool
 from foxlift.platform import events as ev
-from foxlift.platform.eviction import MIN_LISTENING_MS, select_connection_to_close
+from foxlift.platform.eviction import MIN_LISTENING_MS, select_connection_to_close, turn_order
 from foxlift.platform.log import RateLimitedLog
 from foxlift.platform.server_connection import ServerConnection
 from foxlift.platform.settings import Address, Config
@@ -81,6 +81,7 @@
         self.connections: dict[tuple[int, int], ServerConnection] = {}
         self.opening: dict[tuple[int, int], asyncio.Task[None]] = {}
         self.unsent: dict[int, deque[bytes]] = {}
+        self._none_to_yield = False  # to a server that needs one to listen, until the next tick
         self._setups = SetupQueue(loop, self._client_socket, self._when_handled, self._write_setup)
 
     # ---- For `ServerConnection` ---------------------------------------------------------------------------
@@ -121,7 +122,8 @@
 
     def tick(self) -> None:
         """Run the periodic checks of all pools."""
-        for node in list(self.pools):
+        self._none_to_yield = False
+        for node in turn_order(self.pools):
             self.handle(node, pool_messages.Tick())
             pool = self.pools.get(node)
             if pool is not None and pool.is_removed and pool.unused:
@@ -187,7 +189,7 @@
     def _open(self, node: int, conn: int, within_ms: float) -> None:
         if not self._reserve_descriptor(for_listening=not self.pools[node].waiting):
             self._director.count["no descriptor for a box"] += 1
-            self._loop.call_soon(self.handle, node, pool_messages.ConnectionLost(conn))
+            self._loop.call_soon(self.handle, node, pool_messages.NoDescriptor(conn))
             return
         self._director.count["connections to boxes"] += 1
         task = self._loop.create_task(self._connect(node, conn, self.addresses[node]))
@@ -209,8 +211,11 @@
             self._close(retired.node, retired.number)
             return True
         min_listening_ms = MIN_LISTENING_MS if for_listening else 0.0
+        if for_listening and self._none_to_yield:
+            return False
         yielded = select_connection_to_close(self._director.timeline.now(), self.pools, min_listening_ms)
         if yielded is None:
+            self._none_to_yield |= for_listening
             return False
         self._director.count["box connections given up"] += 1
         self.handle(yielded.node, pool_messages.ConnectionYielded(yielded.conn))
--- a/foxlift/platform/server_pool.py
+++ b/foxlift/platform/server_pool.py
@@ -56,7 +56,9 @@
     is_removed: bool = False
     connections: dict[int, PooledConnection] = field(default_factory=dict)
     waiting: deque[tuple[int, float]] = field(default_factory=deque)  # set-up, time it was queued
-    last_received_at: float = 0.0
+    last_received_at: float = 0.0  # moved on by the time in which nothing was asked
+    unasked_since: float | None = None  # since when it has no connection for want of a descriptor
+    waits_since: float | None = None  # the same, until a connection was opened or has failed
     last_open_at: float = 0.0
     connect_requested: bool = False  # a message other than a set-up waits for a connection
     open_attempts: int = 0  # consecutive attempts to open a connection
@@ -92,6 +94,8 @@
                 return self._listed(now, moved)
             case messages.ConnectionYielded(conn):
                 return self._yielded(now, conn)
+            case messages.NoDescriptor(conn):
+                return self._not_opened(now, conn)
             case messages.Tick():
                 return self._tick(now)
 
@@ -114,6 +118,9 @@
         return not (self.sessions or self.waiting or self.in_flight)
 
     def _open(self, now: float) -> messages.OpenConnection:
+        if self.unasked_since is not None:
+            self.last_received_at += now - self.unasked_since
+            self.unasked_since = None
         self._last_conn += 1
         self.connections[self._last_conn] = PooledConnection(now, self.idle_ms)
         self.last_open_at = now
@@ -157,6 +164,7 @@
         if conn is None:
             return [messages.CloseConnection(number)]
         conn.up, conn.last_received_at, conn.last_used_at = True, now, now
+        self.waits_since = None
         self.connect_requested = False
         self.replacement.connection_opened(conn.opened_at)
         lost: list[messages.Action] = []
@@ -219,6 +227,7 @@
         conn = self.connections.pop(number, None)
         if conn is None:
             return []
+        self.waits_since = None
         actions: list[messages.Action] = []
         if conn.up and self.sessions:
             self.replacement.connection_lost(now)
@@ -273,8 +282,20 @@
         if self.connections.pop(number, None) is None:
             return []
         self.last_open_at = now  # not opened again at once: another server uses the descriptor for now
+        self._wait_for_descriptor(now)
         return [messages.CloseConnection(number)]
 
+    def _not_opened(self, now: float, number: int) -> list[messages.Action]:
+        if self.connections.pop(number, None) is None:
+            return []
+        self._wait_for_descriptor(now)
+        return [messages.SetupUnreachable(self.waiting.popleft()[0])] if self.waiting else []
+
+    def _wait_for_descriptor(self, now: float) -> None:
+        if not self.connections:
+            self.unasked_since = now
+            self.waits_since = now if self.waits_since is None else self.waits_since
+
     def _sessions_changed(self, now: float, count: int) -> list[messages.Action]:
         is_first = count and not self.sessions
         self.sessions = count
@@ -282,7 +303,7 @@
             self.replacement.no_longer_needed()
         if is_first:
             # the silence starts now: no message was expected before
-            self.last_received_at = now
+            self.last_received_at, self.unasked_since = now, None
         return [self._open(now)] if is_first and not self.connections else []
 
     def _tick(self, now: float) -> list[messages.Action]:
@@ -307,7 +328,7 @@
         if self.waiting and not self.connections:  # the last one was retired for its age or address
             return [*actions, self._open(now)]
         if self.sessions:
-            if now - self.last_received_at >= SILENCE_TIMEOUT_MS:
+            if self.unasked_since is None and now - self.last_received_at >= SILENCE_TIMEOUT_MS:
                 self.last_received_at = now
                 return [*actions, messages.SessionsLost(messages.SILENT)]
             if self.is_removed and not self.connections:
