A release written to a client that was never served goes to the next viewer, too

Change: viewers' connections are those on which a session started or which ended one that played. A release written elsewhere is written once more on the next of these unless confirmed or too late, and on no connection twice.

--- a/foxlift/platform/viewer_releases.py
+++ b/foxlift/platform/viewer_releases.py
@@ -6,21 +6,24 @@
     (none)      add, no connection in use         UNSENT    kept
     SENT        confirmed                         (none)
     SENT        its connection closes             as add    sent again elsewhere, as it may be lost
+    SENT        was not on a viewers' connection  SENT      written on the next that shows itself one
     SENT        MAX_UNCONFIRMED on a connection   (none)    the oldest is dropped if it has surely arrived
     UNSENT      a connection comes into use       SENT      written there
     UNSENT      MAX_UNSENT exceeded               (none)    the oldest is dropped
     both        RETENTION_MS since the end        (none)    the viewer has counted the session as lost
 
-The other connection is the one on which a session started last, else the one on which a session was requested
-last, or ended by its viewer. A connection without any of these may not belong to viewers: the front tests a
-director on connections, too, and anybody can end an unknown session.
+The other connection is a viewers' connection, else the one on which a session was requested last. Viewers'
+are those on which a session started, latest first, or which ended one that played: the front tests a
+director on connections, too, and anybody can request sessions that are not served, or end an unknown one.
+So a release that was written on another connection is written once more, on the next viewers' connection,
+unless it was confirmed.
 """
 
 from __future__ import annotations
 
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import islice
 
 RETENTION_MS = 8000.0  # viewers must be notified within 8 s of an end
@@ -42,6 +45,7 @@
     ended_at: float  # the session
     written_at: float
     data: bytes
+    was_passed_on: bool = False  # to another connection
 
 
 @dataclass(slots=True)
@@ -57,6 +61,8 @@
     _sent: dict[tuple[int, str], _Sent] = field(default_factory=dict)  # by connection and tag, as written
     _sent_on: dict[int, dict[str, None]] = field(default_factory=dict)  # the same tags by connection
     _unsent: deque[tuple[float, str, bytes]] = field(default_factory=deque)
+    # by tag: the connection of releases that were written, but on no viewers' connection; oldest first
+    _doubtful: dict[str, int] = field(default_factory=dict)
 
     def __len__(self) -> int:
         return len(self._unsent) + len(self._sent)
@@ -70,16 +76,14 @@
 
     def session_ended_by_viewer(self, now: float, conn: int) -> list[Write]:
         """A session that plays was ended on the connection: return the releases to write now."""
-        if conn in self._serving or conn in self._requesting:
-            return []
-        return self.session_requested(now, conn)
+        return [] if conn in self._serving else self.session_started(now, conn)
 
     def session_started(self, now: float, conn: int) -> list[Write]:
         """A session of the connection started: return the releases to write now."""
         self._serving.pop(conn, None)
         self._serving[conn] = None
         self._expire(now)
-        return self._send_unsent(now)
+        return self._send_unsent(now) + self._send_doubtful(now, conn)
 
     def add(self, now: float, conn: int, tag: str, data: bytes) -> list[Write]:
         """Add the release of a session that ended now; `conn`: the connection it was requested on."""
@@ -96,6 +100,12 @@
                 return []
             conn = other
         self._expire(now)
+        if conn not in self._serving:
+            self._doubtful[tag] = conn
+        earlier = self._sent.get((conn, tag))
+        if earlier is not None:
+            self._sent[conn, tag] = replace(earlier, was_passed_on=False)
+            return []
         self._sent[conn, tag] = _Sent(ended_at, now, data)
         tags = self._sent_on.setdefault(conn, {})
         tags[tag] = None
@@ -108,7 +118,7 @@
         for tag in list(islice(tags, max(excess, 0))):
             if now - self._sent[conn, tag].written_at <= DELIVERY_MS and len(tags) <= MAX_UNSENT:
                 return
-            self.confirmed(conn, tag)
+            self._forget(conn, tag)
 
     def _expire(self, now: float) -> None:
         """Drop releases past RETENTION_MS: not every viewer confirms."""
@@ -116,16 +126,21 @@
             conn, tag = next(iter(self._sent))
             if now - self._sent[conn, tag].ended_at <= RETENTION_MS:
                 return
-            self.confirmed(conn, tag)
+            self._forget(conn, tag)
             self.expired += 1
 
     def confirmed(self, conn: int, tag: str) -> None:
         """The viewer confirmed the release."""
+        self._forget(conn, tag)
+
+    def _forget(self, conn: int, tag: str) -> None:
         if self._sent.pop((conn, tag), None) is not None:
             tags = self._sent_on[conn]
             del tags[tag]
             if not tags:
                 del self._sent_on[conn]
+            if self._doubtful.get(tag) == conn:
+                del self._doubtful[tag]
 
     def connection_closed(self, now: float, conn: int) -> list[Write]:
         """The connection closed: return its unconfirmed releases to write on another connection."""
@@ -133,13 +148,29 @@
         self._requesting.pop(conn, None)
         self._expire(now)
         sent = [(tag, self._sent.pop((conn, tag))) for tag in self._sent_on.pop(conn, ())]
-        self.resent += len(sent)
-        return self._resend(now, [(each.ended_at, tag, each.data) for tag, each in sent])
+        for tag, _ in sent:
+            if self._doubtful.get(tag) == conn:
+                del self._doubtful[tag]
+        lost = [(each.ended_at, tag, each.data) for tag, each in sent if not each.was_passed_on]
+        self.resent += len(lost)
+        return self._resend(now, lost)
 
     def _send_unsent(self, now: float) -> list[Write]:
         unsent, self._unsent = self._unsent, deque()
         return self._resend(now, unsent) if unsent else []
 
+    def _send_doubtful(self, now: float, conn: int) -> list[Write]:
+        """Write releases on a viewers' connection that were written on others only."""
+        doubtful, self._doubtful = self._doubtful, {}
+        writes: list[Write] = []
+        for tag, former in doubtful.items():
+            sent = self._sent.get((former, tag))  # None: it has expired meanwhile
+            if sent is not None and former != conn:
+                self._sent[former, tag] = replace(sent, was_passed_on=True)
+                writes += self._add(now, sent.ended_at, conn, tag, sent.data)
+        self.resent += len(writes)
+        return writes
+
     def _resend(self, now: float, unsent: Iterable[tuple[float, str, bytes]]) -> list[Write]:
         writes: list[Write] = []
         for since, tag, data in unsent:
--- a/tests/test_platform_viewer_resets.py
+++ b/tests/test_platform_viewer_resets.py
@@ -6,13 +6,14 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from pathlib import Path
 
 import pytest
 from platform_world import settings
 from test_platform_sockets import Scene, client_connections, name, run_scenario, scene
 
-from foxlift.platform.viewer_releases import ViewerReleases, Write
+from foxlift.platform.viewer_releases import RETENTION_MS, ViewerReleases, Write
 from foxlift.standins.platform import Viewer, finish_line, rtsp_request, start_line
 
 MAX_AT_ONCE = 25  # set-ups, so that none times out on a busy machine
@@ -40,6 +41,82 @@
     assert releases.connection_closed(4, 2) == [Write(3, b"B")]
 
 
+def test_a_release_written_to_a_client_that_was_never_served_goes_to_the_next_viewer_too() -> None:
+    """Guards against a bad client that is the only one connected when a session ends, and never confirms."""
+    releases = ViewerReleases()
+    releases.session_requested(0, 1)
+    [written] = releases.add(10, 9, "a", b"release")
+    assert written.conn == 1
+    releases.session_requested(20, 2)  # nothing is known of this one yet
+    assert releases.session_started(30, 2) == [Write(2, b"release")]
+    assert releases.session_started(40, 2) == [] and releases.session_started(50, 3) == []
+    assert releases.connection_closed(60, 1) == []  # it was written where it would go
+    releases.confirmed(2, "a")
+    assert len(releases) == 0
+
+
+@pytest.mark.parametrize("end", ["confirmed", "too late"])
+def test_a_release_is_not_written_again_once_confirmed_or_too_late(end: str) -> None:
+    releases = ViewerReleases()
+    releases.session_requested(0, 1)
+    assert len(releases.add(10, 9, "a", b"release")) == 1
+    if end == "confirmed":
+        releases.confirmed(1, "a")
+    now = 20.0 if end == "confirmed" else 10 + RETENTION_MS + 1
+    assert releases.session_started(now, 2) == []
+
+
+def test_a_release_on_a_connection_that_is_served_later_is_not_written_there_again() -> None:
+    releases = ViewerReleases()
+    releases.session_requested(0, 1)
+    assert len(releases.add(10, 9, "a", b"release")) == 1
+    assert releases.session_started(20, 1) == [] and releases.session_started(30, 2) == []
+
+
+def test_five_hundred_releases_owed_at_once_are_written_once_on_each_connection() -> None:
+    releases = ViewerReleases()
+    releases.session_requested(0, 1)
+    tags = [f"{k:016x}" for k in range(500)]
+    for tag in tags:
+        assert [write.conn for write in releases.add(10, 9, tag, tag.encode())] == [1]
+    assert [write.data.decode() for write in releases.session_ended_by_viewer(20, 2)] == tags
+    assert releases.session_started(30, 2) == [] and releases.session_started(40, 3) == []
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_no_release_is_written_twice_on_a_connection_in_any_order_of_events(seed: int) -> None:
+    """Property over random orders: each goes to a viewers' connection at once if there is one."""
+    chance, releases = random.Random(seed), ViewerReleases()
+    now = 0.0
+    written: set[tuple[int, bytes]] = set()
+    viewers: set[int] = set()
+    for number in range(600):
+        now += chance.choice([0.0, 5.0, 700.0])
+        conn = chance.randrange(1, 12)
+        writes: list[Write] = []
+        match chance.randrange(6):
+            case 0:
+                writes = releases.session_requested(now, conn)
+            case 1:
+                viewers.add(conn)
+                writes = releases.session_started(now, conn)
+            case 2:
+                viewers.add(conn)
+                writes = releases.session_ended_by_viewer(now, conn)
+            case 3:
+                writes = releases.connection_closed(now, conn)
+                viewers.discard(conn)
+                written = {(other, data) for other, data in written if other != conn}
+            case 4:
+                releases.confirmed(conn, str(chance.randrange(number + 1)))
+            case 5:
+                writes = releases.add(now, conn, str(number), str(number).encode())
+                assert not viewers or {write.conn for write in writes} <= viewers or conn not in viewers
+        for write in writes:
+            assert (write.conn, write.data) not in written
+            written.add((write.conn, write.data))
+
+
 def test_hundreds_of_releases_written_into_a_reset_are_all_written_again() -> None:
     releases = ViewerReleases()
     releases.session_started(0, 1)
