A stop waits for messages that were read and wait for their turn

Cause: found in the reread of the portions: messages that wait are neither unanswered requests nor new reads, so a stop could have ended before they were handled. Change: connections with messages that wait count as pending work. Measured: the new test fails without the change (nothing is pending while 100 requests wait) and passes with it.

--- a/foxlift/platform/backlogs.py
+++ b/foxlift/platform/backlogs.py
@@ -26,6 +26,10 @@
         self._call_soon = call_soon
         self._waiting: deque[Backlogged] = deque()
 
+    def __len__(self) -> int:
+        """Return the number of connections that wait."""
+        return len(self._waiting)
+
     def add(self, connection: Backlogged) -> None:
         """Let a connection wait for its turn. It must not wait already."""
         self._waiting.append(connection)
--- a/foxlift/platform/stop.py
+++ b/foxlift/platform/stop.py
@@ -55,7 +55,7 @@
     """What is pending at a check, and how much input was received."""
 
     unanswered: int  # requests accepted and not answered
-    unsent: int  # bytes or messages written and not yet accepted by the kernel
+    unsent: int  # bytes and messages not yet accepted by the kernel, connections with unhandled messages
     received: int  # number of connections and reads; more than at the last check means new input
 
 
--- a/foxlift/platform/transport.py
+++ b/foxlift/platform/transport.py
@@ -116,7 +116,8 @@
             for client in self._clients.values()
             if client.transport is not None
         )
-        return PendingWork(self.core.unanswered, written + self.servers.unsent_size(), self._received)
+        unsent = written + self.servers.unsent_size() + len(self.backlogs)
+        return PendingWork(self.core.unanswered, unsent, self._received)
 
     def lag(self) -> float:
         """Return how long bytes read now may have been unread, ms."""
--- a/tests/test_platform_floods.py
+++ b/tests/test_platform_floods.py
@@ -134,6 +134,24 @@
     run_scenario(test)
 
 
+def test_a_stop_waits_for_messages_that_were_read_and_wait_for_their_turn(tmp_path: Path) -> None:
+    """Guards against an exit that loses requests which were read."""
+
+    async def test() -> None:
+        async with scene(tmp_path) as world:
+            viewer, requests = await world.viewer(), range(1, 200)
+            push(viewer, b"".join(start_line(name(k), opts={"left": "60000"}) for k in requests))
+            while not len(world.director.backlogs):
+                await asyncio.sleep(0)
+            world.director.core._answer_requests(world.director.core._open_setups)
+            assert world.director.core.unanswered == 0 and world.director._pending_work().unsent
+            while len(world.director.backlogs):
+                await asyncio.sleep(0)
+            assert len(world.director.core.sessions) > 100
+
+    run_scenario(test)
+
+
 @asynccontextmanager
 async def running_director(path: Path) -> AsyncIterator[tuple[subprocess.Popen[bytes], str]]:
     """Start a director as a process, with four servers; yield it and its address."""
